--- a/cluster/clusterstore.cpp
+++ b/cluster/clusterstore.cpp
@@ -2,7 +2,7 @@
 
 #include "core/clock.h"
 #include "core/error.h"
-#include "platform/objectclient.h"
+#include "objects/objectclient.h"
 
 namespace vanillaspar
 {
--- a/cluster/leasewatcher.cpp
+++ b/cluster/leasewatcher.cpp
@@ -7,7 +7,7 @@
 #include "core/clock.h"
 #include "core/eventlog.h"
 #include "node/nodesettings.h"
-#include "platform/objectclient.h"
+#include "objects/objectclient.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
--- a/cluster/message.h
+++ b/cluster/message.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cluster/messages/fetch.h"
+#include "cluster/messages/fleet.h"
 #include "cluster/messages/ping.h"
 #include "cluster/messages/pong.h"
 #include "cluster/messages/quota.h"
@@ -13,6 +14,7 @@
 
 /** Everything that nodes say to each other. New kinds go to the end: the index is on the wire. */
 using Message = std::variant<Ping, Pong, WorkRequest, WorkCancel, WorkPiece, WorkEnd, TokenAsk, TokenGrant, TokenRefund,
-                             ConfigAsk, ConfigOffer, ClusterAsk, ClusterOffer, RelayAsk, RelayAnswer>;
+                             ConfigAsk, ConfigOffer, ClusterAsk, ClusterOffer, RelayAsk, RelayAnswer, HostBeat, ResidencyNews,
+                             AdapterAsk, AdapterUseReport>;
 
 }
--- /dev/null
+++ b/cluster/messages/fleet.h
@@ -0,0 +1,148 @@
+#pragma once
+
+#include "core/ids.h"
+#include "core/units.h"
+
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace vanillaspar
+{
+
+/** How much of a replica one host uses. */
+struct ReplicaUse
+{
+    uint32_t replica = 0; ///< Short hash of the replica's id.
+    uint16_t running = 0; ///< Requests of this host.
+    uint32_t tokens = 0; ///< Tokens of these requests.
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(replica, running, tokens);
+    }
+};
+
+/** What one host has admitted for a team. */
+struct TeamUse
+{
+    uint32_t team = 0; ///< Short hash of the team's id.
+    int64_t admitted = 0; ///< Since the host's process started; only grows.
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(team, admitted);
+    }
+};
+
+/** How new the sender's copy of a record is. */
+struct RecordProof
+{
+    int64_t revision = 0;
+    int64_t age = -1; ///< Milliseconds since the copy was known to be the newest; negative if never.
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(revision, age);
+    }
+};
+
+/** A host's periodic report to another one. */
+struct HostBeat
+{
+    Incarnation incarnation;
+    uint64_t sequence = 0;
+    uint64_t echoed = 0; ///< Sequence of the newest beat that the sender has from the receiver; 0 if none.
+    bool isReady = false;
+    bool isStopping = false;
+    bool reachesStore = false;
+    RecordProof configuration;
+    RecordProof owners;
+    std::vector<ReplicaUse> uses;
+    std::vector<TeamUse> teams;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(incarnation, sequence, echoed, isReady, isStopping, reachesStore, configuration, owners, uses, teams);
+    }
+};
+
+/** One adapter in a replica. */
+struct ResidentAdapter
+{
+    std::string weights; ///< "model/adapter".
+    int64_t version = 0;
+    int32_t readyIn = 0; ///< Milliseconds until it can be used, as far as is known.
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(weights, version, readyIn);
+    }
+};
+
+/** What a replica holds, told by the host that orders its loads; each message tells all. */
+struct ResidencyNews
+{
+    ReplicaId replica;
+    int64_t bornAt = 0; ///< The replica's life that this is about.
+    uint64_t sequence = 0; ///< Rises with each message of the sender's incarnation.
+    std::vector<ResidentAdapter> adapters;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(replica, bornAt, sequence, adapters);
+    }
+};
+
+/** Asks the host that orders a replica's loads for an adapter. */
+struct AdapterAsk
+{
+    ReplicaId replica;
+    std::string weights;
+    int64_t version = 0; ///< The least version that will do; 0 for any.
+    uint16_t waiting = 0; ///< Requests that wait for it at the sender.
+    bool wasMissing = false; ///< Whether the replica denied holding it.
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(replica, weights, version, waiting, wasMissing);
+    }
+};
+
+/** Requests of one host that use an adapter. */
+struct AdapterUse
+{
+    std::string weights;
+    uint16_t running = 0;
+    uint16_t started = 0; ///< Since the last report.
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(weights, running, started);
+    }
+};
+
+/** Tells the host that orders a replica's loads what the sender uses there; each message tells all. */
+struct AdapterUseReport
+{
+    ReplicaId replica;
+    std::vector<AdapterUse> uses;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(replica, uses);
+    }
+};
+
+}
--- /dev/null
+++ b/main/vanillasparentry.cpp
@@ -0,0 +1,151 @@
+#include "core/error.h"
+#include "core/eventlog.h"
+#include "main/commandline.h"
+#include "main/entrysettings.h"
+#include "main/logfile.h"
+#include "net/bootclock.h"
+#include "net/fleettransport.h"
+#include "net/httpupstream.h"
+#include "net/loop.h"
+#include "platform/callerface.h"
+#include "platform/directoryface.h"
+#include "platform/recorddecoder.h"
+#include "platform/replicalink.h"
+#include "platform/storeclient.h"
+#include "serving/servingnode.h"
+
+#include <iostream>
+#include <memory>
+#include <random>
+
+namespace vanillaspar
+{
+
+namespace
+{
+
+constexpr Millis tickInterval(10);
+constexpr Millis settingsInterval(1000); // the file may change without a signal
+constexpr int usageError = 2;
+constexpr int resourceError = 3;
+
+uint64_t randomSeed()
+{
+    std::random_device device;
+    return (static_cast<uint64_t>(device()) << 32) | device();
+}
+
+IngressLimits toIngress(const serving::CallerLimits &limits)
+{
+    return {static_cast<size_t>(limits.headBytes), static_cast<size_t>(limits.bodyBytes), limits.headTimeout,
+            limits.idleTimeout};
+}
+
+/** Joins the parts of one entry host on the platform and runs them until the shutdown is over. */
+void runEntry(const std::string &path)
+{
+    std::string text = readFile(path);
+    EntrySettings settings = EntrySettings::fromYaml(text, path);
+    LogFile log(settings.logFormat, "");
+    Loop loop;
+    const BootClock clock;
+    HttpUpstream upstream(loop, clock);
+    platform::StoreClient store(upstream, Endpoint::parse(settings.storeAddress));
+    const platform::PlatformRecordDecoder decoder;
+    platform::ReplicaLink replicas(upstream);
+    platform::CallerFace callers(loop, clock, Endpoint::parse(settings.serving.callerAddress));
+    platform::DirectoryFace directory(loop, clock, [] {
+        return std::string();
+    });
+    std::unique_ptr<serving::ServingNode> node;
+    FleetTransport peers(loop, settings.serving.host, Endpoint::parse(settings.serving.peerAddress),
+                         MessageCodec(settings.clusterSecret), log,
+                         [&](const HostId &from, const Message &message) {
+                             node->onPeerMessage(from, message);
+                         });
+    node = std::make_unique<serving::ServingNode>(
+        settings.serving,
+        serving::ServingPorts {clock, store, decoder, peers, callers, replicas, replicas, log,
+                               [&](const serving::CallerLimits &limits) {
+                                   callers.ingress().setLimits(toIngress(limits));
+                               }},
+        randomSeed());
+    replicas.setDispatcher(&node->dispatcher());
+    callers.setNode(node.get());
+    directory.setNode(node.get());
+    directory.listen(Endpoint::parse(settings.directoryAddress));
+    directory.listen(Endpoint::parse(settings.readinessAddress));
+    if (!settings.metricsAddress.empty()) {
+        directory.listen(Endpoint::parse(settings.metricsAddress));
+    }
+    const auto reload = [&] {
+        try {
+            const std::string changed = readFile(path);
+            if (changed == text) {
+                return;
+            }
+            text = changed;
+            node->setSettings(EntrySettings::fromYaml(changed, path).serving);
+            log.record(EventCode::SettingsReloaded, path, "the new bounds are in force");
+        } catch (const DocumentError &error) {
+            log.record(EventCode::SettingsRejected, path, error.what());
+        }
+    };
+    loop.every(tickInterval, [&] {
+        node->tick();
+        if (node->isDrained()) {
+            log.record(EventCode::NodeDrained, settings.serving.host.text(), "every request answered");
+            loop.stop();
+        }
+    });
+    loop.every(settingsInterval, reload);
+    loop.onReload(reload);
+    loop.onTerminate([&] {
+        node->beginDrain();
+        callers.ingress().beginClosing();
+    });
+    loop.run();
+}
+
+int run(int argc, const char **argv)
+{
+    std::string settingsPath;
+    bool isCheck = false;
+    bool isVersion = false;
+    CommandLine line("--settings FILE");
+    line.addValue("settings", settingsPath, "YAML settings of this host");
+    line.addFlag("check-settings", isCheck, "check the settings and end");
+    line.addFlag("version", isVersion, "print the version and end");
+    line.parse(argc, argv);
+    if (isVersion) {
+        std::cout << "vanillaspar-entry " << VANILLASPAR_VERSION << "\n";
+        return 0;
+    }
+    if (settingsPath.empty()) {
+        throw DocumentError("--settings is missing");
+    }
+    if (isCheck) {
+        EntrySettings::fromYaml(readFile(settingsPath), settingsPath);
+        std::cout << settingsPath << ": settings are valid\n";
+        return 0;
+    }
+    runEntry(settingsPath);
+    return 0;
+}
+
+}
+
+}
+
+int main(int argc, char **argv)
+{
+    try {
+        return vanillaspar::run(argc, const_cast<const char **>(argv));
+    } catch (const vanillaspar::DocumentError &error) {
+        std::cerr << "vanillaspar-entry: " << error.what() << "\n";
+        return vanillaspar::usageError;
+    } catch (const vanillaspar::Error &error) {
+        std::cerr << "vanillaspar-entry: " << error.what() << "\n";
+        return vanillaspar::resourceError;
+    }
+}
--- /dev/null
+++ b/net/descriptorwatch.cpp
@@ -0,0 +1,91 @@
+#include "net/descriptorwatch.h"
+
+#include "core/error.h"
+#include "net/loop.h"
+
+#include <sys/socket.h>
+
+namespace vanillaspar
+{
+
+/** What libwebsockets holds; it outlives the watch until the descriptor is closed. */
+struct DescriptorWatch::Link
+{
+    Handlers handlers;
+    lws *wsi = nullptr;
+    bool isDetached = false;
+    std::shared_ptr<Link> self; ///< Keeps the link while libwebsockets may call.
+};
+
+DescriptorWatch::DescriptorWatch(Loop &loop, int descriptor, Handlers handlers)
+    : m_link(std::make_shared<Link>()), m_descriptor(descriptor)
+{
+    m_link->handlers = std::move(handlers);
+    lws_sock_file_fd_type adopted {};
+    adopted.filefd = descriptor;
+    m_link->wsi = lws_adopt_descriptor_vhost(loop.descriptorHost(), LWS_ADOPT_RAW_FILE_DESC, adopted,
+                                             Loop::descriptorProtocol, nullptr);
+    if (m_link->wsi == nullptr) {
+        throw ResourceError("libwebsockets can't watch a descriptor");
+    }
+    m_link->self = m_link;
+    lws_set_opaque_user_data(m_link->wsi, m_link.get());
+}
+
+DescriptorWatch::~DescriptorWatch()
+{
+    m_link->isDetached = true;
+    m_link->handlers = {};
+    if (m_link->wsi != nullptr) {
+        // The descriptor is closed from the loop, since this may run inside one of its own callbacks; the peer hears
+        // of the end at once.
+        shutdown(m_descriptor, SHUT_RDWR);
+        lws_set_timeout(m_link->wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+    }
+}
+
+void DescriptorWatch::requestWritable()
+{
+    if (m_link->wsi != nullptr) {
+        lws_callback_on_writable(m_link->wsi);
+    }
+}
+
+int DescriptorWatch::callback(lws *wsi, lws_callback_reasons reason, void * /*user*/, void * /*in*/, size_t /*length*/)
+{
+    if (reason == LWS_CALLBACK_RAW_ADOPT_FILE || wsi == nullptr) {
+        return 0;
+    }
+    auto *link = static_cast<Link *>(lws_get_opaque_user_data(wsi));
+    switch (reason) {
+    case LWS_CALLBACK_RAW_RX_FILE:
+    case LWS_CALLBACK_RAW_WRITEABLE_FILE: {
+        if (link == nullptr || link->isDetached) {
+            return -1;
+        }
+        const std::shared_ptr<Link> keep = link->self;
+        const auto handler = reason == LWS_CALLBACK_RAW_RX_FILE ? keep->handlers.onReadable : keep->handlers.onWritable;
+        if (handler) {
+            handler();
+        }
+        return keep->isDetached ? -1 : 0;
+    }
+    case LWS_CALLBACK_RAW_CLOSE_FILE: {
+        if (link == nullptr) {
+            return 0;
+        }
+        const std::shared_ptr<Link> keep = std::move(link->self);
+        lws_set_opaque_user_data(wsi, nullptr);
+        keep->wsi = nullptr;
+        if (!keep->isDetached && keep->handlers.onReadable) {
+            const auto handler = keep->handlers.onReadable;
+            handler(); // the descriptor is still open, so its owner reads the rest and the error
+        }
+        return 0;
+    }
+    default:
+        return 0;
+    }
+}
+
+}
--- /dev/null
+++ b/net/httpingress.cpp
@@ -0,0 +1,330 @@
+#include "net/httpingress.h"
+
+#include "core/clock.h"
+#include "net/httpreader.h"
+#include "net/loop.h"
+#include "net/streamsocket.h"
+#include "net/tcplistener.h"
+
+#include <cstdio>
+#include <vector>
+
+namespace vanillaspar
+{
+
+namespace
+{
+
+constexpr Millis sweepInterval(200);
+// How long a connection stays half closed so that the caller can read the last answer before a reset.
+constexpr Millis lingerTime(1000);
+// Milliseconds for a whole body, beyond what a slow but sound caller needs for the largest one.
+constexpr Millis bodyTimeout(30000);
+constexpr size_t mostUnwritten = 8UL * 1024 * 1024; // bytes that a caller who doesn't read may hold here
+
+constexpr int badRequest = 400;
+constexpr int requestTimeout = 408;
+constexpr int payloadTooLarge = 413;
+constexpr int headTooLarge = 431;
+
+}
+
+/** One caller's connection. */
+struct HttpIngress::Connection
+{
+    enum class Stage
+    {
+        Reading,
+        Handling,
+        Answering,
+        Lingering,
+    };
+
+    uint64_t id = 0;
+    Stage stage = Stage::Reading;
+    std::unique_ptr<StreamSocket> socket;
+    std::unique_ptr<HttpReader> reader;
+    std::string unread; ///< Bytes after the request that is being handled.
+    IngressRequest request;
+    uint64_t exchange = 0;
+    bool isChunked = false;
+    bool isKeepAlive = true;
+    bool isTooLarge = false;
+    Millis since; ///< When the present stage began.
+};
+
+HttpIngress::HttpIngress(Loop &loop, const Clock &clock, const Endpoint &endpoint, Handlers handlers)
+    : m_loop(loop)
+    , m_clock(clock)
+    , m_handlers(std::move(handlers))
+    , m_listener(std::make_unique<TcpListener>(loop, endpoint, [this](int descriptor) {
+        accept(descriptor);
+    }))
+{
+    loop.every(sweepInterval, [this] {
+        sweep();
+    });
+}
+
+HttpIngress::~HttpIngress() = default;
+
+void HttpIngress::accept(int descriptor)
+{
+    const uint64_t id = m_nextId++;
+    auto owned = std::make_unique<Connection>();
+    Connection *connection = owned.get();
+    connection->id = id;
+    connection->since = m_clock.now();
+    connection->reader
+        = std::make_unique<HttpReader>(HttpReader::Kind::Requests, m_limits.headBytes,
+                                       HttpReader::Handlers {[this, connection](HttpHead &head) {
+                                                                 connection->isTooLarge
+                                                                     = head.length > m_limits.bodyBytes;
+                                                                 if (findHeader(head.headers, "expect") != nullptr
+                                                                     && !connection->isTooLarge) {
+                                                                     connection->socket->write(
+                                                                         "HTTP/1.1 100 Continue\r\n\r\n");
+                                                                 }
+                                                                 connection->request.head = std::move(head);
+                                                             },
+                                                             [this, connection](std::string_view data) {
+                                                                 connection->request.body.append(data);
+                                                                 connection->isTooLarge = connection->isTooLarge
+                                                                     || connection->request.body.size()
+                                                                         > m_limits.bodyBytes;
+                                                             }});
+    connection->socket = std::make_unique<StreamSocket>(m_loop, descriptor,
+                                                        StreamSocket::Handlers {{},
+                                                                                [this, connection](std::string_view data) {
+                                                                                    onData(*connection, data);
+                                                                                },
+                                                                                [this, id](SocketEnd) {
+                                                                                    drop(id);
+                                                                                }});
+    m_connections.emplace(id, std::move(owned));
+}
+
+void HttpIngress::onData(Connection &connection, std::string_view data)
+{
+    switch (connection.stage) {
+    case Connection::Stage::Reading:
+        connection.unread.append(data);
+        readNext(connection);
+        return;
+    case Connection::Stage::Handling:
+    case Connection::Stage::Answering:
+        connection.unread.append(data);
+        if (connection.unread.size() > m_limits.bodyBytes + m_limits.headBytes) {
+            drop(connection.id);
+        }
+        return;
+    case Connection::Stage::Lingering:
+        return;
+    }
+}
+
+void HttpIngress::readNext(Connection &connection)
+{
+    if (connection.unread.empty()) {
+        return;
+    }
+    if (!connection.reader->hasStarted()) {
+        connection.since = m_clock.now();
+        connection.request.startedAt = connection.since;
+    }
+    size_t consumed = 0;
+    const HttpReader::State state = connection.reader->feed(connection.unread, consumed);
+    if (connection.isTooLarge) {
+        fail(connection, payloadTooLarge);
+        return;
+    }
+    switch (state) {
+    case HttpReader::State::Malformed:
+        fail(connection, badRequest);
+        return;
+    case HttpReader::State::HeadTooLarge:
+        fail(connection, headTooLarge);
+        return;
+    case HttpReader::State::NeedsMore:
+        connection.unread.clear();
+        return;
+    case HttpReader::State::Complete:
+        break;
+    }
+    connection.unread.erase(0, consumed);
+    connection.stage = Connection::Stage::Handling;
+    connection.since = m_clock.now();
+    connection.isKeepAlive = connection.request.head.isKeepAlive;
+    connection.exchange = m_nextId++;
+    m_connectionByExchange[connection.exchange] = connection.id;
+    IngressRequest request = std::move(connection.request);
+    connection.request = {};
+    m_handlers.onRequest(connection.exchange, request);
+}
+
+void HttpIngress::fail(Connection &connection, int status)
+{
+    connection.isKeepAlive = false;
+    startHead(connection, status, {}, true, 0);
+    endExchange(connection);
+}
+
+HttpIngress::Connection *HttpIngress::find(uint64_t exchange)
+{
+    const auto entry = m_connectionByExchange.find(exchange);
+    if (entry == m_connectionByExchange.end()) {
+        return nullptr;
+    }
+    const auto connection = m_connections.find(entry->second);
+    return connection == m_connections.end() ? nullptr : connection->second.get();
+}
+
+void HttpIngress::startHead(Connection &connection, int status, const HttpHeaders &headers, bool hasLength,
+                            uint64_t length)
+{
+    connection.isKeepAlive = connection.isKeepAlive && !m_isClosing;
+    connection.isChunked = !hasLength;
+    connection.stage = Connection::Stage::Answering;
+    connection.since = m_clock.now();
+    std::string head = "HTTP/1.1 " + std::to_string(status) + " "
+        + reasonPhrase(status) + "\r\n";
+    for (const HttpHeader &header : headers) {
+        if (isConnectionHeader(header.name) || isSameHeader(header.name, "content-length")) {
+            continue;
+        }
+        head += header.name;
+        head += ": ";
+        head += header.value;
+        head += "\r\n";
+    }
+    head += hasLength ? "Content-Length: " + std::to_string(length) + "\r\n" : "Transfer-Encoding: chunked\r\n";
+    if (!connection.isKeepAlive) {
+        head += "Connection: close\r\n";
+    }
+    head += "\r\n";
+    connection.socket->write(head);
+}
+
+void HttpIngress::respond(uint64_t exchange, int status, const HttpHeaders &headers, std::string_view body)
+{
+    Connection *connection = find(exchange);
+    if (connection == nullptr) {
+        return;
+    }
+    startHead(*connection, status, headers, true, body.size());
+    connection->socket->write(body);
+    endExchange(*connection);
+}
+
+void HttpIngress::startAnswer(uint64_t exchange, const HttpHead &head)
+{
+    Connection *connection = find(exchange);
+    if (connection != nullptr) {
+        startHead(*connection, head.status, head.headers, head.hasLength, head.length);
+    }
+}
+
+void HttpIngress::write(uint64_t exchange, std::string_view data)
+{
+    Connection *connection = find(exchange);
+    if (connection == nullptr || data.empty()) {
+        return;
+    }
+    if (connection->isChunked) {
+        char size[20];
+        const int digits = std::snprintf(size, sizeof(size), "%zx\r\n", data.size());
+        std::string chunk(size, static_cast<size_t>(digits));
+        chunk.append(data);
+        chunk += "\r\n";
+        connection->socket->write(chunk);
+    } else {
+        connection->socket->write(data);
+    }
+    if (connection->socket->pendingBytes() > mostUnwritten) {
+        drop(connection->id);
+    }
+}
+
+void HttpIngress::finish(uint64_t exchange)
+{
+    Connection *connection = find(exchange);
+    if (connection == nullptr) {
+        return;
+    }
+    if (connection->isChunked) {
+        connection->socket->write("0\r\n\r\n");
+    }
+    endExchange(*connection);
+}
+
+void HttpIngress::abort(uint64_t exchange)
+{
+    Connection *connection = find(exchange);
+    if (connection != nullptr) {
+        m_connectionByExchange.erase(exchange);
+        connection->exchange = 0;
+        drop(connection->id);
+    }
+}
+
+void HttpIngress::endExchange(Connection &connection)
+{
+    m_connectionByExchange.erase(connection.exchange);
+    connection.exchange = 0;
+    connection.since = m_clock.now();
+    if (!connection.isKeepAlive) {
+        connection.stage = Connection::Stage::Lingering;
+        connection.socket->finishAfterWrite();
+        return;
+    }
+    connection.stage = Connection::Stage::Reading;
+    connection.reader->reset();
+    // A request that was already received is read from the sweep or the next bytes, not from inside this answer.
+}
+
+void HttpIngress::drop(uint64_t id)
+{
+    const auto entry = m_connections.find(id);
+    if (entry == m_connections.end()) {
+        return;
+    }
+    const std::unique_ptr<Connection> connection = std::move(entry->second);
+    m_connections.erase(entry);
+    if (connection->exchange != 0) {
+        m_connectionByExchange.erase(connection->exchange);
+        m_handlers.onGone(connection->exchange);
+    }
+}
+
+void HttpIngress::sweep()
+{
+    const Millis now = m_clock.now();
+    std::vector<uint64_t> expired;
+    std::vector<Connection *> late;
+    for (const auto &[id, connection] : m_connections) {
+        const Millis age = now - connection->since;
+        if (connection->stage == Connection::Stage::Lingering) {
+            if (age > lingerTime) {
+                expired.push_back(id);
+            }
+        } else if (connection->stage == Connection::Stage::Reading) {
+            if (!connection->unread.empty()) {
+                readNext(*connection);
+            } else if (connection->reader->hasStarted()) {
+                if (age > (connection->reader->hasHead() ? bodyTimeout : m_limits.headTimeout)) {
+                    late.push_back(connection.get());
+                }
+            } else if (age > m_limits.idleTimeout) {
+                expired.push_back(id);
+            }
+        }
+    }
+    for (Connection *connection : late) {
+        fail(*connection, requestTimeout);
+    }
+    for (const uint64_t id : expired) {
+        drop(id);
+    }
+}
+
+}
--- /dev/null
+++ b/net/httpingress.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "core/units.h"
+#include "net/endpoint.h"
+#include "net/httphead.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+
+namespace vanillaspar
+{
+
+class Clock;
+class Loop;
+class TcpListener;
+
+/** What a caller may send, and how long it may take. */
+struct IngressLimits
+{
+    size_t headBytes = 16384;
+    size_t bodyBytes = 4194304;
+    Millis headTimeout {3000};
+    Millis idleTimeout {15000};
+};
+
+/** One whole request that was received. */
+struct IngressRequest
+{
+    HttpHead head;
+    std::string body;
+    Millis startedAt; ///< When its first byte came.
+};
+
+/**
+ * An HTTP/1.1 server that keeps every byte of a request as it was sent.
+ *
+ * Requests are handed over whole; answers are passed on piece by piece. A connection carries one exchange at a time.
+ */
+class HttpIngress
+{
+public:
+    struct Handlers
+    {
+        std::function<void(uint64_t exchange, IngressRequest &request)> onRequest;
+        std::function<void(uint64_t exchange)> onGone; ///< The caller left before its answer was complete.
+    };
+
+    /** @throws ResourceError if the address can't be listened on. */
+    HttpIngress(Loop &loop, const Clock &clock, const Endpoint &endpoint, Handlers handlers);
+    ~HttpIngress();
+    HttpIngress(const HttpIngress &) = delete;
+    HttpIngress &operator=(const HttpIngress &) = delete;
+
+    void setLimits(const IngressLimits &limits)
+    {
+        m_limits = limits;
+    }
+    /** Every answer from now on closes its connection. */
+    void beginClosing()
+    {
+        m_isClosing = true;
+    }
+
+    /** Sends a whole answer. */
+    void respond(uint64_t exchange, int status, const HttpHeaders &headers, std::string_view body);
+    /** Starts an answer; without a length it is sent in chunks. */
+    void startAnswer(uint64_t exchange, const HttpHead &head);
+    /** Adds to a started answer. */
+    void write(uint64_t exchange, std::string_view data);
+    /** Ends a started answer. */
+    void finish(uint64_t exchange);
+    /** Closes the connection, so that an answer under way can't look complete. */
+    void abort(uint64_t exchange);
+
+    size_t connectionCount() const
+    {
+        return m_connections.size();
+    }
+
+private:
+    struct Connection;
+
+    void accept(int descriptor);
+    void onData(Connection &connection, std::string_view data);
+    void readNext(Connection &connection);
+    void fail(Connection &connection, int status);
+    void startHead(Connection &connection, int status, const HttpHeaders &headers, bool hasLength, uint64_t length);
+    void endExchange(Connection &connection);
+    void drop(uint64_t connection);
+    void sweep();
+    Connection *find(uint64_t exchange);
+
+    Loop &m_loop;
+    const Clock &m_clock;
+    Handlers m_handlers;
+    IngressLimits m_limits;
+    std::map<uint64_t, std::unique_ptr<Connection>> m_connections;
+    std::map<uint64_t, uint64_t> m_connectionByExchange;
+    uint64_t m_nextId = 1;
+    bool m_isClosing = false;
+    std::unique_ptr<TcpListener> m_listener;
+};
+
+}
--- a/net/httpobjectapi.cpp
+++ b/net/httpobjectapi.cpp
@@ -1,7 +1,7 @@
 #include "net/httpobjectapi.h"
 
 #include "net/httpclient.h"
-#include "platform/objectcall.h"
+#include "objects/objectcall.h"
 
 namespace vanillaspar
 {
--- a/net/httpobjectapi.h
+++ b/net/httpobjectapi.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "platform/objectapi.h"
-#include "platform/objectreply.h"
+#include "objects/objectapi.h"
+#include "objects/objectreply.h"
 
 #include <functional>
 #include <string>
--- /dev/null
+++ b/net/httpreader.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "net/httphead.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+struct http_parser;
+
+namespace vanillaspar
+{
+
+/** @return the usual reason phrase of an HTTP status. */
+const char *reasonPhrase(int status);
+
+/** Reads HTTP/1 messages with libhttp-parser, one at a time. */
+class HttpReader
+{
+public:
+    enum class Kind
+    {
+        Requests,
+        Responses,
+    };
+    struct Handlers
+    {
+        std::function<void(HttpHead &)> onHead;
+        std::function<void(std::string_view)> onBody;
+    };
+    /** What feeding bytes came to. */
+    enum class State
+    {
+        NeedsMore,
+        Complete, ///< A message is complete; reset() before the next.
+        Malformed,
+        HeadTooLarge,
+    };
+
+    HttpReader(Kind kind, size_t maxHeadBytes, Handlers handlers);
+    ~HttpReader();
+    HttpReader(const HttpReader &) = delete;
+    HttpReader &operator=(const HttpReader &) = delete;
+
+    /**
+     * Reads bytes up to the end of the message.
+     *
+     * @param data bytes received.
+     * @param consumed is set to how many of them belong to this message.
+     */
+    State feed(std::string_view data, size_t &consumed);
+    /** The connection ended. @return Complete if that is how this message ends. */
+    State finish();
+    /** Starts over for the next message. */
+    void reset();
+    /** Says that the response has no body, whatever its headers tell. */
+    void expectNoBody()
+    {
+        m_isBodyless = true;
+    }
+
+    /** @return whether any byte of a message was read since reset(). */
+    bool hasStarted() const
+    {
+        return m_hasStarted;
+    }
+    /** @return whether the head of the message is complete. */
+    bool hasHead() const
+    {
+        return m_hasHead;
+    }
+
+private:
+    struct Callbacks;
+
+    void takeHeaderPart(bool isValue, std::string_view text);
+    int completeHead();
+
+    Kind m_kind;
+    size_t m_maxHeadBytes;
+    Handlers m_handlers;
+    std::unique_ptr<http_parser> m_parser;
+    HttpHead m_head;
+    size_t m_headBytes = 0;
+    bool m_isValuePart = false;
+    bool m_isBodyless = false;
+    bool m_hasStarted = false;
+    bool m_hasHead = false;
+    bool m_isComplete = false;
+};
+
+}
--- /dev/null
+++ b/net/httpupstream.cpp
@@ -0,0 +1,352 @@
+#include "net/httpupstream.h"
+
+#include "core/clock.h"
+#include "net/httpreader.h"
+#include "net/loop.h"
+#include "net/streamsocket.h"
+
+#include <algorithm>
+#include <cstdlib>
+
+namespace vanillaspar
+{
+
+namespace
+{
+
+constexpr size_t maxHeadBytes = 64UL * 1024;
+// A handshake inside a region takes milliseconds; one lost packet is sent again within a few hundred.
+constexpr Millis connectTimeout(600);
+constexpr Millis sweepInterval(50);
+// A server that names no time may close after less than a second, since it names whole seconds only.
+constexpr Millis unnamedKeepAlive(400);
+// Taken off the time that a server names, for the way of the request and for its clock.
+constexpr Millis keepAliveMargin(400);
+constexpr Millis longestKeepAlive(30000);
+constexpr int firstFinalStatus = 200;
+
+Millis keepAliveOf(const HttpHead &head)
+{
+    const std::string *value = findHeader(head.headers, "keep-alive");
+    if (value == nullptr) {
+        return unnamedKeepAlive;
+    }
+    const size_t at = value->find("timeout=");
+    if (at == std::string::npos) {
+        return unnamedKeepAlive;
+    }
+    const int64_t seconds = std::strtoll(value->c_str() + at + 8, nullptr, 10);
+    return std::clamp(Millis(seconds * 1000) - keepAliveMargin, Millis(0), longestKeepAlive);
+}
+
+}
+
+/** One connection to a server. */
+struct HttpUpstream::Connection
+{
+    uint64_t id = 0;
+    std::string pool;
+    std::unique_ptr<StreamSocket> socket;
+    std::unique_ptr<HttpReader> reader;
+    UpstreamHandlers handlers;
+    UpstreamRequest request; ///< Without its body once sent, unless it may be repeated.
+    uint64_t exchange = 0; ///< 0 while it is idle.
+    uint64_t sentBefore = 0; ///< Bytes of earlier requests.
+    Millis startedAt;
+    Millis idleSince;
+    Millis keepAlive;
+    bool isFresh = true; ///< Whether no exchange was completed on it yet.
+    bool isForeign = false; ///< Whether the response being read belongs to an earlier request.
+    bool isUnusable = false; ///< Whether it must be closed after this exchange.
+};
+
+HttpUpstream::HttpUpstream(Loop &loop, const Clock &clock) : m_loop(loop), m_clock(clock)
+{
+    loop.every(sweepInterval, [this] {
+        sweep();
+    });
+}
+
+HttpUpstream::~HttpUpstream() = default;
+
+std::string HttpUpstream::poolName(const Endpoint &endpoint, const std::string &peer)
+{
+    return endpoint.text() + "/" + peer;
+}
+
+uint64_t HttpUpstream::send(UpstreamRequest request, UpstreamHandlers handlers)
+{
+    const uint64_t exchange = m_nextId++;
+    const std::string pool = poolName(request.endpoint, request.peer);
+    Connection *connection = takeIdle(pool, request.isRepeatable);
+    if (connection != nullptr) {
+        start(*connection, std::move(request), std::move(handlers), exchange);
+    } else {
+        open(pool, std::move(request), std::move(handlers), exchange);
+    }
+    return exchange;
+}
+
+HttpUpstream::Connection *HttpUpstream::takeIdle(const std::string &pool, bool isRepeatable)
+{
+    const auto entry = m_idle.find(pool);
+    if (entry == m_idle.end()) {
+        return nullptr;
+    }
+    while (!entry->second.empty()) {
+        const uint64_t id = entry->second.back();
+        Connection &connection = *m_connections.at(id);
+        const Millis idle = m_clock.now() - connection.idleSince;
+        // A request that must not be repeated keeps well clear of the server's own time-out.
+        const Millis limit = isRepeatable ? connection.keepAlive : connection.keepAlive / 2;
+        if (idle > limit) {
+            return nullptr; // the others have been idle for longer; the sweep closes them
+        }
+        entry->second.pop_back();
+        return &connection;
+    }
+    return nullptr;
+}
+
+void HttpUpstream::open(const std::string &pool, UpstreamRequest &&request, UpstreamHandlers &&handlers,
+                        uint64_t exchange)
+{
+    const uint64_t id = m_nextId++;
+    auto owned = std::make_unique<Connection>();
+    Connection *connection = owned.get();
+    connection->id = id;
+    connection->pool = pool;
+    connection->reader
+        = std::make_unique<HttpReader>(HttpReader::Kind::Responses, maxHeadBytes,
+                                       HttpReader::Handlers {[this, connection](HttpHead &head) {
+                                                                 const std::string *echo = connection->request.echoHeader.empty()
+                                                                     ? nullptr
+                                                                     : findHeader(head.headers, connection->request.echoHeader);
+                                                                 connection->isForeign = head.status < firstFinalStatus
+                                                                     || (echo != nullptr
+                                                                         && *echo != connection->request.echoValue);
+                                                                 if (connection->isForeign) {
+                                                                     connection->isUnusable = connection->isUnusable
+                                                                         || head.status >= firstFinalStatus;
+                                                                     return;
+                                                                 }
+                                                                 connection->isUnusable
+                                                                     = connection->isUnusable || !head.isKeepAlive;
+                                                                 connection->keepAlive = keepAliveOf(head);
+                                                                 if (connection->request.method == "HEAD") {
+                                                                     connection->reader->expectNoBody();
+                                                                 }
+                                                                 if (connection->handlers.onHead) {
+                                                                     const auto handler = connection->handlers.onHead;
+                                                                     handler(head);
+                                                                 }
+                                                             },
+                                                             [connection](std::string_view data) {
+                                                                 if (!connection->isForeign && connection->handlers.onBody) {
+                                                                     const auto handler = connection->handlers.onBody;
+                                                                     handler(data);
+                                                                 }
+                                                             }});
+    connection->socket = std::make_unique<StreamSocket>(m_loop, request.endpoint,
+                                                        StreamSocket::Handlers {{},
+                                                                                [this, connection](std::string_view data) {
+                                                                                    onData(*connection, data);
+                                                                                },
+                                                                                [this, id](SocketEnd how) {
+                                                                                    onSocketEnd(id, how != SocketEnd::Closed,
+                                                                                                how == SocketEnd::Refused);
+                                                                                }});
+    m_connections.emplace(id, std::move(owned));
+    ++m_opened;
+    start(*connection, std::move(request), std::move(handlers), exchange);
+}
+
+void HttpUpstream::start(Connection &connection, UpstreamRequest &&request, UpstreamHandlers &&handlers,
+                         uint64_t exchange)
+{
+    connection.request = std::move(request);
+    connection.handlers = std::move(handlers);
+    connection.exchange = exchange;
+    connection.startedAt = m_clock.now();
+    connection.sentBefore = connection.socket->bytesSent();
+    connection.isForeign = false;
+    connection.reader->reset();
+    m_connectionByExchange[exchange] = connection.id;
+    const UpstreamRequest &sent = connection.request;
+    std::string text = sent.method + " " + sent.target + " HTTP/1.1\r\n";
+    for (const HttpHeader &header : sent.headers) {
+        text += header.name;
+        text += ": ";
+        text += header.value;
+        text += "\r\n";
+    }
+    const bool hasBody = !sent.body.empty() || (sent.method != "GET" && sent.method != "HEAD");
+    if (hasBody) {
+        text += "Content-Length: " + std::to_string(sent.body.size()) + "\r\n";
+    }
+    text += "\r\n";
+    text += sent.body;
+    connection.socket->write(text);
+    if (!connection.request.isRepeatable) {
+        connection.request.body.clear();
+    }
+}
+
+void HttpUpstream::onData(Connection &connection, std::string_view data)
+{
+    if (connection.exchange == 0) {
+        // Bytes on an idle connection belong to no request.
+        onSocketEnd(connection.id, true, false);
+        return;
+    }
+    const uint64_t id = connection.id;
+    const uint64_t exchange = connection.exchange;
+    while (!data.empty()) {
+        size_t consumed = 0;
+        const HttpReader::State state = connection.reader->feed(data, consumed);
+        const auto alive = m_connections.find(id);
+        if (alive == m_connections.end() || alive->second->exchange != exchange) {
+            return; // a handler cancelled the exchange
+        }
+        data.remove_prefix(std::min(consumed, data.size()));
+        if (state == HttpReader::State::NeedsMore) {
+            return;
+        }
+        if (state != HttpReader::State::Complete) {
+            end(connection, UpstreamEnd::Malformed, false);
+            return;
+        }
+        if (!connection.isForeign) {
+            connection.isUnusable = connection.isUnusable || !data.empty();
+            completeMessage(connection);
+            return;
+        }
+        connection.reader->reset();
+    }
+}
+
+void HttpUpstream::completeMessage(Connection &connection)
+{
+    // An answer that came before the whole request was written leaves bytes behind that would start the next one.
+    const bool isReusable = !connection.isUnusable && connection.socket->pendingBytes() == 0;
+    end(connection, UpstreamEnd::Complete, isReusable);
+}
+
+void HttpUpstream::onSocketEnd(uint64_t id, bool isReset, bool isRefused)
+{
+    const auto entry = m_connections.find(id);
+    if (entry == m_connections.end()) {
+        return;
+    }
+    Connection &connection = *entry->second;
+    if (connection.exchange == 0) {
+        std::vector<uint64_t> &idle = m_idle[connection.pool];
+        idle.erase(std::remove(idle.begin(), idle.end(), id), idle.end());
+        m_connections.erase(entry);
+        return;
+    }
+    const bool isUnsent = isRefused || connection.socket->bytesSent() == connection.sentBefore;
+    if (isUnsent) {
+        end(connection, UpstreamEnd::NotSent, false);
+        return;
+    }
+    if (!isReset && !connection.isForeign && connection.reader->hasHead()
+        && connection.reader->finish() == HttpReader::State::Complete) {
+        end(connection, UpstreamEnd::Complete, false);
+        return;
+    }
+    if (connection.request.isRepeatable && !connection.isFresh && !connection.reader->hasStarted()) {
+        // The server closed a kept connection while the request was on its way.
+        UpstreamRequest request = std::move(connection.request);
+        UpstreamHandlers handlers = std::move(connection.handlers);
+        const uint64_t exchange = connection.exchange;
+        const std::string pool = connection.pool;
+        m_connections.erase(entry);
+        open(pool, std::move(request), std::move(handlers), exchange);
+        return;
+    }
+    end(connection, UpstreamEnd::Broken, false);
+}
+
+void HttpUpstream::end(Connection &connection, UpstreamEnd how, bool isReusable)
+{
+    m_connectionByExchange.erase(connection.exchange);
+    const UpstreamHandlers handlers = std::move(connection.handlers);
+    connection.handlers = {};
+    connection.exchange = 0;
+    connection.isFresh = false;
+    if (isReusable && connection.keepAlive.value > 0) {
+        connection.idleSince = m_clock.now();
+        m_idle[connection.pool].push_back(connection.id);
+    } else {
+        m_connections.erase(connection.id);
+    }
+    if (handlers.onEnd) {
+        handlers.onEnd(how);
+    }
+}
+
+void HttpUpstream::cancel(uint64_t exchange)
+{
+    const auto entry = m_connectionByExchange.find(exchange);
+    if (entry == m_connectionByExchange.end()) {
+        return;
+    }
+    const auto connection = m_connections.find(entry->second);
+    m_connectionByExchange.erase(entry);
+    connection->second->socket.reset();
+    m_retired.push_back(std::move(connection->second));
+    m_connections.erase(connection);
+}
+
+void HttpUpstream::dropIdle(const std::string &peer)
+{
+    for (auto &[pool, idle] : m_idle) {
+        if (pool.substr(pool.find('/') + 1) == peer) {
+            for (const uint64_t id : idle) {
+                m_connections.erase(id);
+            }
+            idle.clear();
+        }
+    }
+}
+
+void HttpUpstream::sweep()
+{
+    m_retired.clear();
+    const Millis now = m_clock.now();
+    std::vector<uint64_t> timedOut;
+    for (const auto &[id, connection] : m_connections) {
+        if (connection->exchange == 0) {
+            continue;
+        }
+        const Millis age = now - connection->startedAt;
+        const bool isConnecting = !connection->socket->isConnected();
+        const bool isOverdue = connection->request.timeout.value > 0 && age > connection->request.timeout;
+        if ((isConnecting && age > connectTimeout) || isOverdue) {
+            timedOut.push_back(id);
+        }
+    }
+    for (const uint64_t id : timedOut) {
+        const auto entry = m_connections.find(id);
+        if (entry != m_connections.end() && entry->second->exchange != 0) {
+            Connection &connection = *entry->second;
+            const bool isUnsent = connection.socket->bytesSent() == connection.sentBefore;
+            end(connection, isUnsent ? UpstreamEnd::NotSent : UpstreamEnd::Broken, false);
+        }
+    }
+    for (auto entry = m_idle.begin(); entry != m_idle.end();) {
+        std::vector<uint64_t> &idle = entry->second;
+        while (!idle.empty()) {
+            const Connection &oldest = *m_connections.at(idle.front());
+            if (now - oldest.idleSince <= oldest.keepAlive) {
+                break;
+            }
+            m_connections.erase(idle.front());
+            idle.erase(idle.begin());
+        }
+        entry = idle.empty() ? m_idle.erase(entry) : std::next(entry);
+    }
+}
+
+}
--- /dev/null
+++ b/net/httpupstream.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "core/units.h"
+#include "net/endpoint.h"
+#include "net/httphead.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace vanillaspar
+{
+
+class Clock;
+class Loop;
+
+/** How an exchange with a server ended. */
+enum class UpstreamEnd
+{
+    Complete,
+    NotSent, ///< No byte of the request left this process.
+    Broken, ///< The connection ended or fell silent after bytes had been sent.
+    Malformed, ///< What came back is no HTTP response.
+};
+
+/** A request to a server. */
+struct UpstreamRequest
+{
+    Endpoint endpoint;
+    std::string peer; ///< Connections are reused only for the same endpoint and peer.
+    std::string method;
+    std::string target;
+    HttpHeaders headers;
+    std::string body;
+    /** A response whose header of this name has another value belongs to an earlier request and is dropped. */
+    std::string echoHeader;
+    std::string echoValue;
+    Millis timeout {0}; ///< Until the response is complete; 0 leaves it to the caller.
+    bool isRepeatable = false; ///< Whether a kept connection that ends unused may be replaced by a new one.
+};
+
+/** What a server's answer consists of. */
+struct UpstreamHandlers
+{
+    std::function<void(HttpHead &)> onHead;
+    std::function<void(std::string_view)> onBody;
+    std::function<void(UpstreamEnd)> onEnd; ///< Called once, last.
+};
+
+/** HTTP/1.1 requests to servers over kept connections, one request at a time on each. */
+class HttpUpstream
+{
+public:
+    HttpUpstream(Loop &loop, const Clock &clock);
+    ~HttpUpstream();
+    HttpUpstream(const HttpUpstream &) = delete;
+    HttpUpstream &operator=(const HttpUpstream &) = delete;
+
+    /** Sends a request. @return a number for cancel(). */
+    uint64_t send(UpstreamRequest request, UpstreamHandlers handlers);
+    /** Closes the exchange's connection; none of its handlers is called again. */
+    void cancel(uint64_t exchange);
+    /** Closes idle connections to a peer, after one of them was found dead. */
+    void dropIdle(const std::string &peer);
+
+    /** @return connections opened so far. */
+    uint64_t openedCount() const
+    {
+        return m_opened;
+    }
+
+private:
+    struct Connection;
+
+    static std::string poolName(const Endpoint &endpoint, const std::string &peer);
+    Connection *takeIdle(const std::string &pool, bool isRepeatable);
+    void open(const std::string &pool, UpstreamRequest &&request, UpstreamHandlers &&handlers, uint64_t exchange);
+    void start(Connection &connection, UpstreamRequest &&request, UpstreamHandlers &&handlers, uint64_t exchange);
+    void onData(Connection &connection, std::string_view data);
+    void completeMessage(Connection &connection);
+    void onSocketEnd(uint64_t id, bool isReset, bool isRefused);
+    void end(Connection &connection, UpstreamEnd how, bool isReusable);
+    void sweep();
+
+    Loop &m_loop;
+    const Clock &m_clock;
+    std::map<uint64_t, std::unique_ptr<Connection>> m_connections;
+    std::map<uint64_t, uint64_t> m_connectionByExchange;
+    std::map<std::string, std::vector<uint64_t>> m_idle; ///< The most lately used last.
+    std::vector<std::unique_ptr<Connection>> m_retired; ///< Cancelled, perhaps from inside their own handlers.
+    uint64_t m_nextId = 1;
+    uint64_t m_opened = 0;
+};
+
+}
--- a/net/loop.cpp
+++ b/net/loop.cpp
@@ -1,6 +1,7 @@
 #include "net/loop.h"
 
 #include "core/error.h"
+#include "net/descriptorwatch.h"
 
 #include <chrono>
 #include <csignal>
@@ -12,14 +13,20 @@
 {
 
 constexpr unsigned int exchangeTimeout = 600; // seconds, beyond the longest deadline
+constexpr unsigned int maxDescriptors = 3800; // below the 4,096 that a small host's process may open
 constexpr int64_t microsPerMilli = 1000;
 constexpr Millis signalPoll(50);
 
 volatile std::sig_atomic_t terminateRequested = 0;
+volatile std::sig_atomic_t reloadRequested = 0;
 
-void onSignal(int /*number*/)
+void onSignal(int number)
 {
-    terminateRequested = 1;
+    if (number == SIGHUP) {
+        reloadRequested = 1;
+    } else {
+        terminateRequested = 1;
+    }
 }
 
 }
@@ -31,6 +38,7 @@
     info.port = CONTEXT_PORT_NO_LISTEN;
     info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS | LWS_SERVER_OPTION_DISABLE_IPV6;
     info.timeout_secs = exchangeTimeout;
+    info.fd_limit_per_thread = maxDescriptors;
     info.gid = static_cast<gid_t>(-1);
     info.uid = static_cast<uid_t>(-1);
     m_context = lws_create_context(&info);
@@ -98,4 +106,33 @@
     });
 }
 
+void Loop::onReload(std::function<void()> action)
+{
+    std::signal(SIGHUP, onSignal);
+    every(signalPoll, [action = std::move(action)] {
+        if (reloadRequested != 0) {
+            reloadRequested = 0;
+            action();
+        }
+    });
+}
+
+lws_vhost *Loop::descriptorHost()
+{
+    if (m_descriptorHost == nullptr) {
+        m_descriptorProtocols[0].name = descriptorProtocol;
+        m_descriptorProtocols[0].callback = DescriptorWatch::callback;
+        lws_context_creation_info info {};
+        info.port = CONTEXT_PORT_NO_LISTEN;
+        info.protocols = m_descriptorProtocols;
+        info.vhost_name = descriptorProtocol;
+        info.options = LWS_SERVER_OPTION_DISABLE_IPV6;
+        m_descriptorHost = lws_create_vhost(m_context, &info);
+        if (m_descriptorHost == nullptr) {
+            throw ResourceError("libwebsockets can't make a virtual host for descriptors");
+        }
+    }
+    return m_descriptorHost;
+}
+
 }
--- a/net/loop.h
+++ b/net/loop.h
@@ -30,12 +30,22 @@
     void stop();
     /** Makes SIGTERM and SIGINT call @p action from the loop. */
     void onTerminate(std::function<void()> action);
+    /** Makes SIGHUP call @p action from the loop. */
+    void onReload(std::function<void()> action);
 
     lws_context *context() const
     {
         return m_context;
     }
 
+    /** Name of the protocol under which plain descriptors are watched. */
+    static constexpr const char *descriptorProtocol = "descriptor";
+    /**
+     * @return the virtual host for plain descriptors, made at the first call.
+     * @throws ResourceError if libwebsockets can't make it.
+     */
+    lws_vhost *descriptorHost();
+
 private:
     struct Timer;
     /** What libwebsockets keeps; it leads back to the timer. */
@@ -55,6 +65,8 @@
     static void onTimer(lws_sorted_usec_list_t *entry);
 
     lws_context *m_context = nullptr;
+    lws_vhost *m_descriptorHost = nullptr;
+    lws_protocols m_descriptorProtocols[2] {};
     std::list<Timer> m_timers;
     bool m_isStopped = false;
 };
--- a/node/claimkeeper.cpp
+++ b/node/claimkeeper.cpp
@@ -4,7 +4,7 @@
 #include "core/eventlog.h"
 #include "core/hash.h"
 #include "node/nodesettings.h"
-#include "platform/objectclient.h"
+#include "objects/objectclient.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
--- a/node/configkeeper.cpp
+++ b/node/configkeeper.cpp
@@ -6,7 +6,7 @@
 #include "core/error.h"
 #include "core/eventlog.h"
 #include "core/hash.h"
-#include "platform/objectclient.h"
+#include "objects/objectclient.h"
 
 #include <algorithm>
 
--- a/node/intentkeeper.cpp
+++ b/node/intentkeeper.cpp
@@ -2,7 +2,7 @@
 
 #include "core/clock.h"
 #include "node/nodesettings.h"
-#include "platform/objectclient.h"
+#include "objects/objectclient.h"
 
 #include <nlohmann/json.hpp>
 
--- a/node/membership.h
+++ b/node/membership.h
@@ -5,7 +5,7 @@
 #include "cluster/leasewatcher.h"
 #include "cluster/peertable.h"
 #include "node/relayapi.h"
-#include "platform/objectclient.h"
+#include "objects/objectclient.h"
 
 #include <functional>
 
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -15,7 +15,7 @@
 namespace
 {
 
-const std::string hostsPath = "platform/hosts";
+const std::string hostsPath = "objects/hosts";
 constexpr Millis addressLifetime(5000); // how long callers keep an address
 constexpr Millis retryDelay(300);
 constexpr Millis housekeepingInterval(200);
@@ -305,6 +305,11 @@
     {
         node.m_membership.relayedObjects().onReply(answer.reply);
     }
+    template<class EntryHostMessage>
+    void operator()(const EntryHostMessage & /*message*/) const
+    {
+        node.m_ports.log.record(EventCode::MessageRejected, from.text(), "a message of another kind of node");
+    }
 };
 
 void Node::handle(const HostId &from, const std::string &address, const Message &message)
--- a/node/node.h
+++ b/node/node.h
@@ -15,7 +15,7 @@
 #include "node/replicaowner.h"
 #include "node/supervisor.h"
 #include "node/worksink.h"
-#include "platform/objectclient.h"
+#include "objects/objectclient.h"
 
 #include <deque>
 #include <map>
--- a/node/relayapi.h
+++ b/node/relayapi.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/objectapi.h"
+#include "objects/objectapi.h"
 
 #include <functional>
 #include <string>
--- a/platform/objectclient.cpp
+++ b/objects/objectclient.cpp
@@ -1,8 +1,8 @@
-#include "platform/objectclient.h"
+#include "objects/objectclient.h"
 
 #include "core/clock.h"
-#include "platform/objectapi.h"
-#include "platform/objectcall.h"
+#include "objects/objectapi.h"
+#include "objects/objectcall.h"
 
 #include <vector>
 
--- a/platform/objectclient.h
+++ b/objects/objectclient.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/units.h"
-#include "platform/objectreply.h"
+#include "objects/objectreply.h"
 
 #include <functional>
 #include <map>
--- /dev/null
+++ b/policy/fleetquota.cpp
@@ -0,0 +1,102 @@
+#include "policy/fleetquota.h"
+
+#include <algorithm>
+
+namespace vanillaspar
+{
+
+namespace
+{
+
+constexpr double millisPerSecond = 1000;
+constexpr Millis longestWait(10000); // named to a caller when the bucket will not hold the cost at all
+
+}
+
+void FleetQuota::configure(double rate, double burst, Millis now)
+{
+    refill(now);
+    m_rate = rate;
+    m_burst = burst;
+    m_level = std::min(m_level, m_burst * ownPart());
+}
+
+void FleetQuota::setHosts(int64_t hosts, int64_t silent, Millis now)
+{
+    refill(now);
+    m_hosts = std::max<int64_t>(hosts, 1);
+    m_silent = std::clamp<int64_t>(silent, 0, m_hosts - 1);
+    m_level = std::min(m_level, m_burst * ownPart());
+}
+
+void FleetQuota::onReport(const HostId &host, const std::string &incarnation, int64_t admitted, Millis now)
+{
+    refill(now);
+    Peer &peer = m_peers[host];
+    if (peer.incarnation != incarnation) {
+        // What the new life admitted before it was heard is taken off too; the first life's rest was reported.
+        const bool isFirst = peer.incarnation.empty();
+        peer = {incarnation, isFirst ? admitted : 0};
+    }
+    if (admitted > peer.admitted) {
+        m_level -= static_cast<double>(admitted - peer.admitted);
+        peer.admitted = admitted;
+    }
+}
+
+bool FleetQuota::take(double cost, Millis now)
+{
+    if (!isLimited()) {
+        return true;
+    }
+    refill(now);
+    if (m_level < cost) {
+        return false;
+    }
+    m_level -= cost;
+    m_admitted += static_cast<int64_t>(cost);
+    return true;
+}
+
+void FleetQuota::giveBack(double cost, Millis now)
+{
+    if (!isLimited()) {
+        return;
+    }
+    refill(now);
+    // Reports only count upwards, so the others keep the cost off; this host may use it again itself.
+    m_level = std::min(m_level + cost, m_burst * ownPart());
+}
+
+double FleetQuota::level(Millis now)
+{
+    refill(now);
+    return m_level;
+}
+
+Millis FleetQuota::waitFor(double cost, Millis now)
+{
+    refill(now);
+    const double missing = cost - m_level;
+    const double refillRate = m_rate * ownPart();
+    if (missing <= 0 || refillRate <= 0) {
+        return Millis(0);
+    }
+    return std::min(Millis(static_cast<int64_t>(missing / refillRate * millisPerSecond) + 1), longestWait);
+}
+
+double FleetQuota::ownPart() const
+{
+    return static_cast<double>(m_hosts - m_silent) / static_cast<double>(m_hosts);
+}
+
+void FleetQuota::refill(Millis now)
+{
+    const double elapsed = static_cast<double>((now - m_refilledAt).value);
+    m_refilledAt = now;
+    if (elapsed > 0) {
+        m_level = std::min(m_level + m_rate * ownPart() * elapsed / millisPerSecond, m_burst * ownPart());
+    }
+}
+
+}
--- /dev/null
+++ b/policy/fleetquota.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "core/ids.h"
+#include "core/units.h"
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+namespace vanillaspar
+{
+
+/**
+ * One team's token bucket that all hosts draw from together.
+ *
+ * Each host keeps the whole bucket and takes off what the others report to have admitted. A host that falls silent is
+ * counted with an even part of rate and burst, as it counts itself when it hears from nobody: so the parts on both
+ * sides of a cut add up to the whole. A bucket starts empty, since what was admitted before a restart isn't known.
+ */
+class FleetQuota
+{
+public:
+    /** Sets the limit. @param rate tokens a second; 0 sets no limit. @param burst tokens at most. */
+    void configure(double rate, double burst, Millis now);
+    /**
+     * Says who shares the bucket.
+     *
+     * @param hosts all hosts, this one included; at least 1.
+     * @param silent those of them that don't report.
+     */
+    void setHosts(int64_t hosts, int64_t silent, Millis now);
+    /** Takes what a host has admitted since it started. @param incarnation tells its lives apart. */
+    void onReport(const HostId &host, const std::string &incarnation, int64_t admitted, Millis now);
+
+    /** Admits a request if the bucket holds its cost. */
+    bool take(double cost, Millis now);
+    /** Gives back the cost of a request that was admitted a moment ago and never sent on. */
+    void giveBack(double cost, Millis now);
+
+    /** @return tokens admitted by this host since its start, for its reports. */
+    int64_t admitted() const
+    {
+        return m_admitted;
+    }
+    /** @return tokens in the bucket; negative while others have admitted more than was known here. */
+    double level(Millis now);
+    /** @return how long until the bucket holds @p cost. */
+    Millis waitFor(double cost, Millis now);
+    bool isLimited() const
+    {
+        return m_rate > 0;
+    }
+
+private:
+    struct Peer
+    {
+        std::string incarnation;
+        int64_t admitted = 0;
+    };
+
+    void refill(Millis now);
+    double ownPart() const;
+
+    double m_rate = 0;
+    double m_burst = 0;
+    double m_level = 0;
+    Millis m_refilledAt;
+    int64_t m_admitted = 0;
+    int64_t m_hosts = 1;
+    int64_t m_silent = 0;
+    std::map<HostId, Peer> m_peers;
+};
+
+}
--- /dev/null
+++ b/serving/admission.cpp
@@ -0,0 +1,111 @@
+#include "serving/admission.h"
+
+#include "core/random.h"
+#include "serving/clientrequest.h"
+
+#include <algorithm>
+
+namespace vanillaspar::serving
+{
+
+namespace
+{
+
+// A host that has no configuration yet, or can't confirm it, usually can within a second.
+constexpr Millis confirmRetry(1000);
+
+}
+
+void Admission::setConfig(std::shared_ptr<const ServingConfig> config, Millis now)
+{
+    m_config = std::move(config);
+    m_routes = std::make_unique<RouteTable>(*m_config);
+    for (const Team &team : m_config->teams) {
+        m_quotas[team.id].configure(team.rate, team.burst, now);
+    }
+    for (auto entry = m_quotas.begin(); entry != m_quotas.end();) {
+        const bool isKnown = std::any_of(m_config->teams.begin(), m_config->teams.end(), [&](const Team &team) {
+            return team.id == entry->first;
+        });
+        entry = isKnown ? std::next(entry) : m_quotas.erase(entry);
+    }
+}
+
+const Pool *Admission::choosePool(const Route &route)
+{
+    int64_t total = 0;
+    for (const PoolShare &share : route.pools) {
+        total += share.weight;
+    }
+    int64_t drawn = static_cast<int64_t>(m_random.below(static_cast<uint64_t>(std::max<int64_t>(total, 1))));
+    for (const PoolShare &share : route.pools) {
+        drawn -= share.weight;
+        if (drawn < 0) {
+            const auto pool = m_config->pools.find(share.pool);
+            return pool == m_config->pools.end() ? nullptr : &pool->second;
+        }
+    }
+    return nullptr;
+}
+
+std::variant<Admitted, Refusal> Admission::admit(const ClientRequest &request, Millis now)
+{
+    if (m_config == nullptr) {
+        return Refusal {RefusalCode::Unconfirmed, RunState::NotRun, confirmRetry, "no configuration yet"};
+    }
+    Admitted admitted;
+    admitted.route = m_routes->find(request.host, request.path());
+    if (admitted.route == nullptr) {
+        return Refusal {RefusalCode::UnknownRoute, RunState::NotRun, Millis(0), "no route for the host and path"};
+    }
+    if (const std::optional<Refusal> refusal = checkAgain(request, admitted.route->isPublic, now)) {
+        return *refusal;
+    }
+    const auto key = m_config->teamByKey.find(request.key);
+    if (!request.key.empty() && key != m_config->teamByKey.end()) {
+        admitted.team = &m_config->teams[key->second];
+    }
+    admitted.priority = admitted.team != nullptr && admitted.team->priority ? *admitted.team->priority
+                                                                             : admitted.route->priority;
+    admitted.pool = choosePool(*admitted.route);
+    if (admitted.pool == nullptr) {
+        return Refusal {RefusalCode::NoReplica, RunState::NotRun, confirmRetry, "the route names no known pool"};
+    }
+    if (admitted.team != nullptr) {
+        admitted.cost = 1;
+        if (admitted.team->isCountedInTokens) {
+            admitted.cost = request.tokens ? static_cast<double>(request.tokens->value) : admitted.team->plainTokens;
+        }
+        FleetQuota &quota = m_quotas[admitted.team->id];
+        if (!quota.take(admitted.cost, now)) {
+            return Refusal {RefusalCode::OverRate, RunState::NotRun, quota.waitFor(admitted.cost, now),
+                            "team " + admitted.team->id.text() + " is over its rate"};
+        }
+    }
+    return admitted;
+}
+
+std::optional<Refusal> Admission::checkAgain(const ClientRequest &request, bool isPublic, Millis now) const
+{
+    if (isPublic || !m_config->hasTeams()) {
+        return std::nullopt;
+    }
+    if (now >= m_trustedUntil) {
+        return Refusal {RefusalCode::Unconfirmed, RunState::NotRun, confirmRetry,
+                        "the configuration can't be confirmed to be the newest"};
+    }
+    if (m_config->teamByKey.count(request.key) == 0) {
+        return Refusal {RefusalCode::Unauthenticated, RunState::NotRun, Millis(0), "the key is missing or unknown"};
+    }
+    return std::nullopt;
+}
+
+void Admission::giveBack(const TeamId &team, double cost, Millis now)
+{
+    const auto quota = m_quotas.find(team);
+    if (quota != m_quotas.end()) {
+        quota->second.giveBack(cost, now);
+    }
+}
+
+}
--- /dev/null
+++ b/serving/admission.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "core/ids.h"
+#include "core/refusal.h"
+#include "core/units.h"
+#include "policy/fleetquota.h"
+#include "serving/routetable.h"
+#include "serving/servingconfig.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <variant>
+
+namespace vanillaspar
+{
+class Random;
+}
+
+namespace vanillaspar::serving
+{
+
+struct ClientRequest;
+
+/** What admission decided for a request. */
+struct Admitted
+{
+    const Route *route = nullptr;
+    const Pool *pool = nullptr;
+    const Team *team = nullptr; ///< Whose key came with it, if any.
+    int priority = 0;
+    double cost = 0; ///< Taken from the team's quota.
+};
+
+/** Decides whether a request may be served at all: route, key, age of the configuration, the team's quota. */
+class Admission
+{
+public:
+    explicit Admission(Random &random) : m_random(random)
+    {
+    }
+
+    /** Puts a configuration in force. */
+    void setConfig(std::shared_ptr<const ServingConfig> config, Millis now);
+    /** Sets until when keys may be trusted: then the configuration could lack a withdrawal. */
+    void setTrustedUntil(Millis until)
+    {
+        m_trustedUntil = until;
+    }
+
+    std::variant<Admitted, Refusal> admit(const ClientRequest &request, Millis now);
+    /** @return whether the key still is the team's, and the configuration recent enough to say so. */
+    std::optional<Refusal> checkAgain(const ClientRequest &request, bool isPublic, Millis now) const;
+    void giveBack(const TeamId &team, double cost, Millis now);
+
+    std::map<TeamId, FleetQuota> &quotas()
+    {
+        return m_quotas;
+    }
+    const ServingConfig *config() const
+    {
+        return m_config.get();
+    }
+
+private:
+    const Pool *choosePool(const Route &route);
+
+    Random &m_random;
+    std::shared_ptr<const ServingConfig> m_config;
+    std::unique_ptr<RouteTable> m_routes;
+    std::map<TeamId, FleetQuota> m_quotas;
+    Millis m_trustedUntil {-1};
+};
+
+}
--- /dev/null
+++ b/serving/attemptport.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "core/ids.h"
+#include "core/units.h"
+#include "net/httphead.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace vanillaspar::serving
+{
+
+struct Backend;
+struct ClientRequest;
+
+/** On what terms a request goes to a replica. */
+struct AttemptTerms
+{
+    Millis timeLeft; ///< The replica stops after it.
+    std::optional<TeamId> team; ///< For whom it runs; nothing on a public route without a key.
+    int priority = 0; ///< 0 is the most urgent.
+    bool isRepeatable = false;
+};
+
+/** The start of a replica's answer, with what it says about the request's execution. */
+struct AttemptHead
+{
+    HttpHead &head;
+    bool isSigned = false; ///< Whether it bears the replica's signature.
+    bool hasNotRun = false; ///< Whether the replica says that it did not run the request.
+    bool isMisdirected = false; ///< The weights aren't there, or another server has the address.
+    bool isOtherServer = false; ///< Another server has the address.
+};
+
+/** Sends requests to replicas; what comes back goes to an AttemptListener. */
+class AttemptPort
+{
+public:
+    virtual ~AttemptPort() = default;
+
+    virtual void send(uint64_t attempt, const Backend &backend, const ClientRequest &request,
+                      const AttemptTerms &terms)
+        = 0;
+    /** Closes the attempt's connection, which makes the replica stop; nothing more is heard of it. */
+    virtual void cancel(uint64_t attempt) = 0;
+};
+
+}
--- /dev/null
+++ b/serving/backendtable.cpp
@@ -0,0 +1,174 @@
+#include "serving/backendtable.h"
+
+#include "cluster/messages/fleet.h"
+#include "core/hash.h"
+
+#include <algorithm>
+
+namespace vanillaspar::serving
+{
+
+namespace
+{
+
+// Weight of the newest outcome in the failure rate: about the last ten requests count.
+constexpr double outcomeWeight = 0.1;
+// A server that refuses connections is tried again after this pause, doubled with each further failure.
+constexpr Millis firstAvoidance(200);
+constexpr Millis longestAvoidance(2000);
+constexpr int mostDoublings = 4;
+// A removed server answers what it has for some seconds more.
+constexpr Millis goneRetention(30000);
+
+}
+
+bool BackendTable::upsert(Backend backend)
+{
+    std::unique_ptr<BackendState> &state = m_backends[backend.id];
+    const bool isNew = state == nullptr;
+    if (isNew) {
+        state = std::make_unique<BackendState>();
+        state->shortId = static_cast<uint32_t>(stableHash(backend.id.text()));
+        m_byShortId[state->shortId] = state.get();
+    }
+    const bool isNewLife = !isNew && state->info.holdings.bornAt != backend.holdings.bornAt;
+    if (isNewLife || state->isGone) {
+        state->failureRate = 0;
+        state->consecutiveFailures = 0;
+        state->avoidUntil = Millis(0);
+    }
+    state->isGone = false;
+    state->info = std::move(backend);
+    return isNewLife;
+}
+
+void BackendTable::remove(const ReplicaId &id, Millis now)
+{
+    BackendState *state = find(id);
+    if (state != nullptr && !state->isGone) {
+        state->isGone = true;
+        state->goneAt = now;
+    }
+}
+
+void BackendTable::forgetGone(Millis now)
+{
+    for (auto entry = m_backends.begin(); entry != m_backends.end();) {
+        const BackendState &state = *entry->second;
+        if (state.isGone && state.ownRunning == 0 && now - state.goneAt > goneRetention) {
+            m_byShortId.erase(state.shortId);
+            entry = m_backends.erase(entry);
+        } else {
+            ++entry;
+        }
+    }
+}
+
+BackendState *BackendTable::find(const ReplicaId &id)
+{
+    const auto entry = m_backends.find(id);
+    return entry == m_backends.end() ? nullptr : entry->second.get();
+}
+
+const BackendState *BackendTable::find(const ReplicaId &id) const
+{
+    const auto entry = m_backends.find(id);
+    return entry == m_backends.end() ? nullptr : entry->second.get();
+}
+
+std::vector<BackendState *> BackendTable::usable(const PoolId &pool)
+{
+    std::vector<BackendState *> found = all(pool);
+    found.erase(std::remove_if(found.begin(), found.end(),
+                               [](const BackendState *state) {
+                                   return !state->isUsable();
+                               }),
+                found.end());
+    return found;
+}
+
+std::vector<BackendState *> BackendTable::all(const PoolId &pool)
+{
+    std::vector<BackendState *> found;
+    for (const auto &[id, state] : m_backends) {
+        if (state->info.pool == pool) {
+            found.push_back(state.get());
+        }
+    }
+    return found;
+}
+
+void BackendTable::setPeerUse(const HostId &host, const std::vector<ReplicaUse> &uses)
+{
+    m_peerUses[host] = uses;
+    sumPeers();
+}
+
+void BackendTable::sumPeers()
+{
+    for (const auto &[id, state] : m_backends) {
+        state->peerRunning = 0;
+        state->peerTokens = 0;
+    }
+    for (const auto &[host, uses] : m_peerUses) {
+        for (const ReplicaUse &use : uses) {
+            const auto state = m_byShortId.find(use.replica);
+            if (state != m_byShortId.end()) {
+                state->second->peerRunning += use.running;
+                state->second->peerTokens += use.tokens;
+            }
+        }
+    }
+}
+
+std::vector<ReplicaUse> BackendTable::ownUse() const
+{
+    std::vector<ReplicaUse> uses;
+    for (const auto &[id, state] : m_backends) {
+        if (state->ownRunning > 0) {
+            uses.push_back({state->shortId, static_cast<uint16_t>(std::min<int64_t>(state->ownRunning, UINT16_MAX)),
+                            static_cast<uint32_t>(state->ownTokens)});
+        }
+    }
+    return uses;
+}
+
+void BackendTable::onSent(const ReplicaId &id, int64_t tokens)
+{
+    if (BackendState *state = find(id)) {
+        ++state->ownRunning;
+        state->ownTokens += tokens;
+    }
+}
+
+void BackendTable::onEnded(const ReplicaId &id, int64_t tokens)
+{
+    if (BackendState *state = find(id)) {
+        --state->ownRunning;
+        state->ownTokens -= tokens;
+    }
+}
+
+void BackendTable::onSuccess(const ReplicaId &id)
+{
+    if (BackendState *state = find(id)) {
+        state->consecutiveFailures = 0;
+        state->failureRate *= 1 - outcomeWeight;
+    }
+}
+
+void BackendTable::onFailure(const ReplicaId &id, bool isUnreachable, Millis now)
+{
+    BackendState *state = find(id);
+    if (state == nullptr) {
+        return;
+    }
+    state->failureRate = state->failureRate * (1 - outcomeWeight) + outcomeWeight;
+    ++state->consecutiveFailures;
+    if (isUnreachable || state->consecutiveFailures > 1) {
+        const int doublings = std::min(state->consecutiveFailures - 1, mostDoublings);
+        state->avoidUntil = now + std::min(Millis(firstAvoidance.value << doublings), longestAvoidance);
+    }
+}
+
+}
--- /dev/null
+++ b/serving/backendtable.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "core/ids.h"
+#include "core/units.h"
+#include "serving/backend.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace vanillaspar
+{
+struct ReplicaUse;
+}
+
+namespace vanillaspar::serving
+{
+
+/** A backend server and what this host has seen of it. */
+struct BackendState
+{
+    Backend info;
+    uint32_t shortId = 0; ///< Hash of the id, as hosts name it to each other.
+    int64_t ownRunning = 0; ///< Requests of this host that it has.
+    int64_t ownTokens = 0;
+    int64_t peerRunning = 0; ///< Requests of the other hosts, by their last reports.
+    int64_t peerTokens = 0;
+    double failureRate = 0; ///< Decayed part of this host's requests that it failed, 0 to 1.
+    Millis avoidUntil {0}; ///< Not to be chosen until then while another one can be.
+    int consecutiveFailures = 0;
+    bool isGone = false; ///< Its entry was removed.
+    Millis goneAt;
+
+    int64_t running() const
+    {
+        return ownRunning + peerRunning;
+    }
+    /** @return whether new work may be sent. */
+    bool isUsable() const
+    {
+        return !info.isLeaving && !isGone;
+    }
+};
+
+/** The backend servers that service discovery tells of, and how loaded they are. */
+class BackendTable
+{
+public:
+    /** Adds a server or follows its change. @return whether it is a new life of a known server. */
+    bool upsert(Backend backend);
+    /** The server's entry was removed: it gets no new work. */
+    void remove(const ReplicaId &id, Millis now);
+    /** Forgets servers that were removed and have nothing left to answer. */
+    void forgetGone(Millis now);
+
+    /** @return the server, or nullptr; also one that was removed but still answers. */
+    BackendState *find(const ReplicaId &id);
+    const BackendState *find(const ReplicaId &id) const;
+    /** @return servers of a pool that may get work. */
+    std::vector<BackendState *> usable(const PoolId &pool);
+    /** @return servers of a pool, usable or not. */
+    std::vector<BackendState *> all(const PoolId &pool);
+
+    /** Replaces what a host has reported to use. */
+    void setPeerUse(const HostId &host, const std::vector<ReplicaUse> &uses);
+    /** @return this host's own use, for its reports. */
+    std::vector<ReplicaUse> ownUse() const;
+
+    void onSent(const ReplicaId &id, int64_t tokens);
+    void onEnded(const ReplicaId &id, int64_t tokens);
+    void onSuccess(const ReplicaId &id);
+    /** @param isUnreachable whether it could not be connected to, rather than failing a request. */
+    void onFailure(const ReplicaId &id, bool isUnreachable, Millis now);
+
+private:
+    void sumPeers();
+
+    std::map<ReplicaId, std::unique_ptr<BackendState>> m_backends;
+    std::unordered_map<uint32_t, BackendState *> m_byShortId;
+    std::map<HostId, std::vector<ReplicaUse>> m_peerUses;
+};
+
+}
--- /dev/null
+++ b/serving/dispatcher.cpp
@@ -0,0 +1,472 @@
+#include "serving/dispatcher.h"
+
+#include "cluster/messages/fleet.h"
+#include "core/clock.h"
+#include "serving/adapterversions.h"
+#include "serving/admission.h"
+#include "serving/backendtable.h"
+#include "serving/callerport.h"
+#include "serving/enginechooser.h"
+#include "serving/requestlog.h"
+#include "serving/residencymap.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace vanillaspar::serving
+{
+
+namespace
+{
+
+constexpr Millis defaultPatience(10000); // of a caller that names no deadline
+// A request that still waits after this part of its time is refused: what is left must suffice to run, and the caller
+// may come back within its own deadline.
+constexpr double waitingPart = 0.5;
+constexpr int mostSends = 4; // of one request; each is cheap to refuse, but counts against the retry budget
+constexpr Millis repeatPause(25); // before a request goes to a replica that has just refused it
+constexpr Millis overloadRetry(300); // about the time a batch needs to end a few of its requests
+constexpr Millis noReplicaRetry(1000);
+constexpr Millis stoppingRetry(50); // callers choose another host at once
+// A plain service queues a few requests itself; beyond that they wait here, where they can still go elsewhere.
+constexpr double serviceQueue = 2.0; // requests for each slot
+constexpr double farPenalty = 0.1;
+constexpr double failurePenalty = 2.0;
+constexpr double avoidPenalty = 100.0;
+constexpr int firstServerError = 500;
+constexpr int firstRedirect = 300;
+constexpr int firstSuccess = 200;
+
+}
+
+Dispatcher::Dispatcher(DispatchContext context) : m_context(std::move(context))
+{
+}
+
+Dispatcher::~Dispatcher() = default;
+
+void Dispatcher::setRetryBounds(double ratio, double allowance, Millis window)
+{
+    m_retryRatio = ratio;
+    m_retryAllowance = allowance;
+    m_retryWindow = window;
+    for (auto &[pool, budget] : m_budgets) {
+        budget.configure(ratio, allowance, window);
+    }
+}
+
+RetryBudget &Dispatcher::budgetOf(const PoolId &pool)
+{
+    const auto entry = m_budgets.find(pool);
+    if (entry != m_budgets.end()) {
+        return entry->second;
+    }
+    RetryBudget &budget = m_budgets[pool];
+    budget.configure(m_retryRatio, m_retryAllowance, m_retryWindow);
+    return budget;
+}
+
+void Dispatcher::onRequest(ClientRequest request)
+{
+    const Millis now = m_context.clock.now();
+    if (!m_isAccepting) {
+        const Refusal refusal {RefusalCode::ShuttingDown, RunState::NotRun, stoppingRetry, "this host is stopping"};
+        m_context.log.onRefused(request, refusal, now);
+        m_context.callers.refuse(request.exchange, refusal);
+        return;
+    }
+    const std::variant<Admitted, Refusal> decision = m_context.admission.admit(request, now);
+    if (const Refusal *refusal = std::get_if<Refusal>(&decision)) {
+        m_context.log.onRefused(request, *refusal, now);
+        m_context.callers.refuse(request.exchange, *refusal);
+        return;
+    }
+    const Admitted &admitted = std::get<Admitted>(decision);
+    auto owned = std::make_unique<Flow>();
+    Flow &flow = *owned;
+    flow.request = std::move(request);
+    const Millis patience = flow.request.patience.value_or(defaultPatience);
+    const Millis allowed = std::min(patience, admitted.route->timeout);
+    flow.route = admitted.route->name;
+    flow.kind = admitted.route->kind;
+    flow.isPublic = admitted.route->isPublic;
+    flow.maxReplicas = admitted.route->maxReplicas;
+    flow.priority = admitted.priority;
+    flow.pool = admitted.pool->id;
+    flow.isEngine = admitted.pool->engine.has_value();
+    if (admitted.team != nullptr) {
+        flow.team = admitted.team->id;
+    }
+    flow.cost = admitted.cost;
+    flow.tokens = flow.request.tokens.value_or(Tokens(0)).value;
+    flow.objectiveAt = flow.request.receivedAt + admitted.route->objective;
+    flow.endAt = flow.request.receivedAt + allowed;
+    flow.giveUpAt = flow.request.receivedAt
+        + Millis(static_cast<int64_t>(static_cast<double>(allowed.value) * waitingPart));
+    const uint64_t exchange = flow.request.exchange;
+    m_flows.emplace(exchange, std::move(owned));
+    budgetOf(flow.pool).onRequest(now);
+    settle(flow);
+}
+
+void Dispatcher::settle(Flow &flow)
+{
+    if (place(flow) == Placement::Waits) {
+        queue(flow);
+    }
+}
+
+Dispatcher::Placement Dispatcher::place(Flow &flow)
+{
+    const Millis now = m_context.clock.now();
+    if (const std::optional<Refusal> refusal = m_context.admission.checkAgain(flow.request, flow.isPublic, now)) {
+        refuse(flow, *refusal);
+        return Placement::Ended;
+    }
+    if (now < flow.retryAt) {
+        return Placement::Waits;
+    }
+    return flow.isEngine ? placeOnEngine(flow) : placeOnService(flow);
+}
+
+Dispatcher::Placement Dispatcher::placeOnEngine(Flow &flow)
+{
+    const auto &pools = m_context.admission.config()->pools;
+    const auto pool = pools.find(flow.pool);
+    if (pool == pools.end() || !pool->second.engine) {
+        refuse(flow, {RefusalCode::NoReplica, RunState::NotRun, noReplicaRetry, "the pool is no longer configured"});
+        return Placement::Ended;
+    }
+    const Millis now = m_context.clock.now();
+    const EngineChoice choice = m_context.chooser.choose(flow, *pool->second.engine, now);
+    if (!choice.isPossible) {
+        refuse(flow, {RefusalCode::NoReplica, RunState::NotRun, noReplicaRetry, "no replica of the pool takes work"});
+        return Placement::Ended;
+    }
+    if (choice.loadOn != nullptr) {
+        m_wantedLoads[{choice.loadOn->info.id, flow.request.weights}] += 1;
+    }
+    if (choice.backend == nullptr) {
+        return Placement::Waits;
+    }
+    send(flow, *choice.backend);
+    return Placement::Sent;
+}
+
+Dispatcher::Placement Dispatcher::placeOnService(Flow &flow)
+{
+    const Millis now = m_context.clock.now();
+    BackendState *best = nullptr;
+    double bestValue = 0;
+    bool isAnyThere = false;
+    for (BackendState *state : m_context.backends.usable(flow.pool)) {
+        if (flow.ranOn.count(state->info.id) > 0) {
+            continue;
+        }
+        isAnyThere = true;
+        const double load = EngineChooser::loadOf(*state, nullptr);
+        if (load >= 1 + serviceQueue || flow.avoided.count(state->info.id) > 0) {
+            continue;
+        }
+        const double value = load + state->failureRate * failurePenalty
+            + (state->info.domain == m_context.domain ? 0 : farPenalty) + (now < state->avoidUntil ? avoidPenalty : 0);
+        if (best == nullptr || value < bestValue) {
+            best = state;
+            bestValue = value;
+        }
+    }
+    if (best != nullptr) {
+        send(flow, *best);
+        return Placement::Sent;
+    }
+    if (!isAnyThere) {
+        refuse(flow, {RefusalCode::NoReplica, RunState::NotRun, noReplicaRetry, "no replica of the pool takes work"});
+        return Placement::Ended;
+    }
+    flow.avoided.clear(); // all have refused once; the next round may find room
+    return Placement::Waits;
+}
+
+void Dispatcher::send(Flow &flow, BackendState &backend)
+{
+    const Millis now = m_context.clock.now();
+    flow.attempt = m_nextAttempt++;
+    flow.replica = backend.info.id;
+    flow.sentAt = now;
+    flow.isRejected = false;
+    flow.isMisdirected = false;
+    flow.isOtherServer = false;
+    flow.hasFailed = false;
+    ++flow.sendCount;
+    m_exchangeByAttempt[flow.attempt] = flow.request.exchange;
+    m_context.backends.onSent(backend.info.id, flow.tokens);
+    m_context.attempts.send(flow.attempt, backend.info, flow.request,
+                            {flow.endAt - now, flow.team, flow.priority, flow.isRepeatable()});
+}
+
+void Dispatcher::queue(Flow &flow)
+{
+    m_waiting[{flow.priority, flow.request.exchange}] = flow.request.exchange;
+}
+
+void Dispatcher::leaveQueue(const Flow &flow)
+{
+    m_waiting.erase({flow.priority, flow.request.exchange});
+}
+
+void Dispatcher::sendWaiting()
+{
+    std::vector<uint64_t> exchanges;
+    exchanges.reserve(m_waiting.size());
+    for (const auto &[key, exchange] : m_waiting) {
+        exchanges.push_back(exchange);
+    }
+    for (const uint64_t exchange : exchanges) {
+        const auto entry = m_flows.find(exchange);
+        if (entry == m_flows.end() || entry->second->attempt != 0) {
+            continue;
+        }
+        Flow &flow = *entry->second;
+        const WaitingKey key {flow.priority, flow.request.exchange};
+        if (place(flow) != Placement::Waits) {
+            m_waiting.erase(key);
+        }
+    }
+}
+
+void Dispatcher::tick()
+{
+    sendWaiting();
+    const Millis now = m_context.clock.now();
+    std::vector<uint64_t> overdue;
+    for (const auto &[exchange, flow] : m_flows) {
+        const bool waitsTooLong = flow->attempt == 0 && now >= flow->giveUpAt;
+        if (now >= flow->endAt || waitsTooLong) {
+            overdue.push_back(exchange);
+        }
+    }
+    for (const uint64_t exchange : overdue) {
+        endOverdue(*m_flows.at(exchange));
+    }
+}
+
+void Dispatcher::endOverdue(Flow &flow)
+{
+    if (flow.attempt == 0) {
+        if (flow.mayHaveRun) {
+            refuse(flow, {RefusalCode::OutcomeUnknown, RunState::Unknown, Millis(0), "a lost attempt may have run"});
+        } else {
+            refuse(flow, {RefusalCode::Overloaded, RunState::NotRun, overloadRetry, "no replica had room in time"});
+        }
+        return;
+    }
+    if (flow.isAnswering) {
+        breakOff(flow, "the time for the answer is over");
+        return;
+    }
+    refuse(flow, {RefusalCode::DeadlineTooShort, RunState::Unknown, Millis(0), "the replica did not answer in time"});
+}
+
+void Dispatcher::onCallerGone(uint64_t exchange)
+{
+    const auto entry = m_flows.find(exchange);
+    if (entry != m_flows.end()) {
+        Flow &flow = *entry->second;
+        m_context.log.onCallerLeft(flow, m_context.clock.now());
+        erase(flow);
+    }
+}
+
+Flow *Dispatcher::findByAttempt(uint64_t attempt)
+{
+    const auto exchange = m_exchangeByAttempt.find(attempt);
+    if (exchange == m_exchangeByAttempt.end()) {
+        return nullptr;
+    }
+    const auto flow = m_flows.find(exchange->second);
+    return flow == m_flows.end() ? nullptr : flow->second.get();
+}
+
+void Dispatcher::onAttemptHead(uint64_t attempt, const AttemptHead &head)
+{
+    Flow *flow = findByAttempt(attempt);
+    if (flow == nullptr) {
+        return;
+    }
+    if (head.hasNotRun) {
+        flow->isRejected = true;
+        flow->isMisdirected = head.isMisdirected;
+        flow->isOtherServer = head.isOtherServer;
+        return;
+    }
+    const bool isSuccess = head.head.status >= firstSuccess && head.head.status < firstRedirect;
+    if (!head.isSigned) {
+        // Nothing that a sound replica sends; it is dropped and the attempt counts as lost.
+        m_context.attempts.cancel(attempt);
+        onAttemptEnd(attempt, UpstreamEnd::Malformed);
+        return;
+    }
+    const bool mayRepeat = flow->isRepeatable() && static_cast<int>(flow->ranOn.size()) + 1 < flow->maxReplicas;
+    if (!isSuccess && head.head.status >= firstServerError && mayRepeat) {
+        flow->hasFailed = true;
+        return;
+    }
+    flow->isAnswering = true;
+    m_context.callers.startAnswer(flow->request.exchange, head.head);
+}
+
+void Dispatcher::onAttemptBody(uint64_t attempt, std::string_view data)
+{
+    Flow *flow = findByAttempt(attempt);
+    if (flow != nullptr && flow->isAnswering) {
+        m_context.callers.append(flow->request.exchange, data);
+    }
+}
+
+void Dispatcher::onAttemptEnd(uint64_t attempt, UpstreamEnd how)
+{
+    Flow *flow = findByAttempt(attempt);
+    if (flow == nullptr) {
+        return;
+    }
+    const Millis now = m_context.clock.now();
+    m_exchangeByAttempt.erase(attempt);
+    m_context.backends.onEnded(flow->replica, flow->tokens);
+    flow->attempt = 0;
+    if (how == UpstreamEnd::NotSent) {
+        m_context.backends.onFailure(flow->replica, true, now);
+        flow->avoided.insert(flow->replica);
+        tryElsewhere(*flow, false, RefusalCode::NoReplica, "the replica could not be reached");
+    } else if (flow->isAnswering) {
+        if (how == UpstreamEnd::Complete) {
+            complete(*flow);
+        } else {
+            m_context.backends.onFailure(flow->replica, false, now);
+            breakOff(*flow, "the replica broke its answer off");
+        }
+    } else if (flow->isRejected) {
+        onRejected(*flow);
+    } else {
+        onLost(*flow);
+    }
+    sendWaiting();
+}
+
+void Dispatcher::onRejected(Flow &flow)
+{
+    const Millis now = m_context.clock.now();
+    if (flow.isOtherServer) {
+        m_context.backends.onFailure(flow.replica, true, now);
+        flow.avoided.insert(flow.replica);
+        tryElsewhere(flow, true, RefusalCode::NoReplica, "another server has the replica's address");
+        return;
+    }
+    if (flow.isEngine && flow.isMisdirected) {
+        m_context.residency.onMissing(flow.replica, flow.request.weights);
+        m_missing.insert({flow.replica, flow.request.weights});
+        tryElsewhere(flow, true, RefusalCode::LoadFailed, "the replica does not hold the adapter");
+        return;
+    }
+    if (flow.isEngine) {
+        // Busy with the adapter, or full: the others come first, and it comes back after a moment.
+        m_context.residency.postpone(flow.replica, flow.request.weights, now + repeatPause);
+    } else {
+        flow.avoided.insert(flow.replica);
+    }
+    flow.retryAt = now + (flow.sendCount > 1 ? repeatPause : Millis(0));
+    tryElsewhere(flow, true, RefusalCode::Overloaded, "the replica refused the request without running it");
+}
+
+void Dispatcher::onLost(Flow &flow)
+{
+    const Millis now = m_context.clock.now();
+    m_context.backends.onFailure(flow.replica, false, now);
+    flow.ranOn.insert(flow.replica);
+    flow.mayHaveRun = true;
+    if (flow.isRepeatable() && static_cast<int>(flow.ranOn.size()) < flow.maxReplicas) {
+        tryElsewhere(flow, true, RefusalCode::OutcomeUnknown,
+                     flow.hasFailed ? "the replica failed the request" : "the replica's answer was lost");
+        return;
+    }
+    refuse(flow, {RefusalCode::OutcomeUnknown, RunState::Unknown, Millis(0), "the replica's answer was lost"});
+}
+
+void Dispatcher::tryElsewhere(Flow &flow, bool countsAsRepeat, RefusalCode code, const std::string &why)
+{
+    const Millis now = m_context.clock.now();
+    const bool hasBudget = !countsAsRepeat || budgetOf(flow.pool).takeRepeat(now);
+    if (!hasBudget || flow.sendCount >= mostSends || now >= flow.endAt) {
+        const RunState state = flow.mayHaveRun ? RunState::Unknown : RunState::NotRun;
+        refuse(flow, {flow.mayHaveRun ? RefusalCode::OutcomeUnknown : code, state,
+                      flow.mayHaveRun ? Millis(0) : overloadRetry, why + (hasBudget ? "" : "; no retry budget left")});
+        return;
+    }
+    m_context.log.onRetried(flow, why, now);
+    settle(flow);
+}
+
+void Dispatcher::complete(Flow &flow)
+{
+    m_context.backends.onSuccess(flow.replica);
+    m_context.log.onServed(flow, m_context.clock.now());
+    m_context.callers.finish(flow.request.exchange);
+    erase(flow);
+}
+
+void Dispatcher::refuse(Flow &flow, const Refusal &refusal)
+{
+    const Millis now = m_context.clock.now();
+    if (flow.team && refusal.runState == RunState::NotRun && flow.sendCount == 0) {
+        m_context.admission.giveBack(*flow.team, flow.cost, now);
+    }
+    m_context.log.onRefused(flow.request, refusal, now);
+    m_context.callers.refuse(flow.request.exchange, refusal);
+    erase(flow);
+}
+
+void Dispatcher::breakOff(Flow &flow, const std::string &why)
+{
+    m_context.log.onFailed(flow, why, m_context.clock.now());
+    m_context.callers.abort(flow.request.exchange);
+    erase(flow);
+}
+
+void Dispatcher::erase(Flow &flow)
+{
+    if (flow.attempt != 0) {
+        m_context.attempts.cancel(flow.attempt);
+        m_exchangeByAttempt.erase(flow.attempt);
+        m_context.backends.onEnded(flow.replica, flow.tokens);
+    }
+    leaveQueue(flow);
+    m_flows.erase(flow.request.exchange);
+}
+
+std::map<ReplicaId, std::map<std::string, AdapterUse>> Dispatcher::adapterUses() const
+{
+    std::map<ReplicaId, std::map<std::string, AdapterUse>> uses;
+    for (const auto &[exchange, flow] : m_flows) {
+        if (flow->attempt != 0 && flow->isEngine) {
+            AdapterUse &use = uses[flow->replica][flow->request.weights];
+            use.weights = flow->request.weights;
+            ++use.running;
+        }
+    }
+    return uses;
+}
+
+std::vector<AdapterAsk> Dispatcher::takeAsks()
+{
+    std::vector<AdapterAsk> asks;
+    const Millis now = m_context.clock.now();
+    for (const auto &[where, waiting] : m_wantedLoads) {
+        const bool wasMissing = m_missing.count(where) > 0;
+        asks.push_back({where.first, where.second, m_context.versions.required(where.second, now),
+                        static_cast<uint16_t>(std::min<int64_t>(waiting, UINT16_MAX)), wasMissing});
+    }
+    m_wantedLoads.clear();
+    m_missing.clear();
+    return asks;
+}
+
+}
--- /dev/null
+++ b/serving/flow.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "core/ids.h"
+#include "core/units.h"
+#include "serving/clientrequest.h"
+#include "serving/servingconfig.h"
+
+#include <cstdint>
+#include <optional>
+#include <set>
+
+namespace vanillaspar::serving
+{
+
+/** A request between its admission and its end. */
+struct Flow
+{
+    ClientRequest request;
+    RouteName route;
+    RequestKind kind = RequestKind::NonIdempotent;
+    bool isPublic = false;
+    int maxReplicas = 1;
+    int priority = 0;
+    PoolId pool;
+    bool isEngine = false;
+    std::optional<TeamId> team;
+    double cost = 0; ///< Taken from the team's quota.
+    int64_t tokens = 0; ///< It takes that much of an engine's memory.
+    Millis objectiveAt; ///< An answer that begins later is late.
+    Millis endAt; ///< The caller must have its final answer by then.
+    Millis giveUpAt; ///< If it still waits then, it is refused.
+
+    uint64_t attempt = 0; ///< 0 while it waits.
+    ReplicaId replica; ///< Where the attempt is.
+    Millis sentAt;
+    bool isAnswering = false; ///< Whether the answer's start was passed on.
+    bool isRejected = false; ///< Whether the replica said that it has not run it.
+    bool isMisdirected = false; ///< The adapter isn't there, or another server has the address.
+    bool isOtherServer = false;
+    bool hasFailed = false; ///< Whether the replica answered with a failure that may be repeated elsewhere.
+    bool mayHaveRun = false; ///< Whether an earlier attempt may have run.
+    int sendCount = 0;
+    std::set<ReplicaId> ranOn; ///< Replicas that it may have run on.
+    std::set<ReplicaId> avoided; ///< Replicas that could not take it.
+    Millis retryAt {0}; ///< Not to be sent before.
+    Millis askedAt {-1}; ///< When an adapter was asked for last.
+
+    /** @return whether it may run more than once. */
+    bool isRepeatable() const
+    {
+        return kind == RequestKind::Idempotent;
+    }
+};
+
+}
--- /dev/null
+++ b/serving/requestlog.cpp
@@ -0,0 +1,87 @@
+#include "serving/requestlog.h"
+
+#include "core/clock.h"
+#include "core/eventlog.h"
+#include "serving/flow.h"
+
+namespace vanillaspar::serving
+{
+
+namespace
+{
+
+constexpr Millis second(1000);
+constexpr int64_t linesPerSecond = 60; // about what ten thousand requests a minute fail at in a bad minute
+constexpr uint64_t servedSample = 100; // one line for so many answers in time
+
+std::string describe(const Flow &flow, Millis now)
+{
+    return "route=" + flow.route.text() + " replica=" + flow.replica.text() + " weights=" + flow.request.weights
+        + " priority=" + std::to_string(flow.priority) + " sends=" + std::to_string(flow.sendCount)
+        + " age_ms=" + std::to_string((now - flow.request.receivedAt).value)
+        + " left_ms=" + std::to_string((flow.endAt - now).value);
+}
+
+}
+
+RequestLog::RequestLog(const Clock &clock, EventLog &log) : m_clock(clock), m_log(log)
+{
+}
+
+bool RequestLog::mayWrite(Millis now)
+{
+    if (now - m_secondStart >= second) {
+        if (m_dropped > 0) {
+            m_log.record(EventCode::LinesDropped, "requests", std::to_string(m_dropped) + " lines");
+        }
+        m_secondStart = now;
+        m_lines = 0;
+        m_dropped = 0;
+    }
+    if (m_lines >= linesPerSecond) {
+        ++m_dropped;
+        return false;
+    }
+    ++m_lines;
+    return true;
+}
+
+void RequestLog::onServed(const Flow &flow, Millis now)
+{
+    if (m_served++ % servedSample == 0 && mayWrite(now)) {
+        m_log.record(EventCode::RequestServed, flow.request.id.text(), describe(flow, now));
+    }
+}
+
+void RequestLog::onRefused(const ClientRequest &request, const Refusal &refusal, Millis now)
+{
+    if (mayWrite(now)) {
+        m_log.record(EventCode::RequestRefused, request.id.text(),
+                     "code=" + std::string(refusalName(refusal.code)) + " run=" + std::string(runStateName(refusal.runState))
+                         + " retry_after_ms=" + std::to_string(refusal.retryAfter.value) + " weights=" + request.weights
+                         + " age_ms=" + std::to_string((now - request.receivedAt).value) + " why=" + refusal.detail);
+    }
+}
+
+void RequestLog::onFailed(const Flow &flow, const std::string &why, Millis now)
+{
+    if (mayWrite(now)) {
+        m_log.record(EventCode::RequestFailed, flow.request.id.text(), describe(flow, now) + " why=" + why);
+    }
+}
+
+void RequestLog::onRetried(const Flow &flow, const std::string &why, Millis now)
+{
+    if (mayWrite(now)) {
+        m_log.record(EventCode::RequestRetried, flow.request.id.text(), describe(flow, now) + " why=" + why);
+    }
+}
+
+void RequestLog::onCallerLeft(const Flow &flow, Millis now)
+{
+    if (mayWrite(now)) {
+        m_log.record(EventCode::CallerLeft, flow.request.id.text(), describe(flow, now));
+    }
+}
+
+}
--- /dev/null
+++ b/serving/residencymap.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "core/ids.h"
+#include "core/units.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace vanillaspar
+{
+struct ResidencyNews;
+}
+
+namespace vanillaspar::serving
+{
+
+struct Backend;
+
+/** An adapter in a replica, as this host knows it. */
+struct Residence
+{
+    int64_t version = 0;
+    Millis readyAt; ///< It can be used from then on.
+};
+
+/**
+ * Which replica holds which adapter.
+ *
+ * News from the host that orders a replica's loads go before what service discovery tells, which lags by seconds.
+ */
+class ResidencyMap
+{
+public:
+    /** Takes what service discovery tells, if nothing newer is known of this life of the replica. */
+    void onDiscovered(const Backend &backend, Millis now);
+    /** Takes news from the host that orders the replica's loads. */
+    void onNews(const HostId &from, const ResidencyNews &news, Millis now);
+    /** The replica denied holding the adapter. */
+    void onMissing(const ReplicaId &replica, const std::string &weights);
+    /** The replica is still busy with the adapter; it can be used a little later. */
+    void postpone(const ReplicaId &replica, const std::string &weights, Millis until);
+    void remove(const ReplicaId &replica);
+
+    /** @return the adapter's place in a replica, or nullptr. */
+    const Residence *find(const ReplicaId &replica, const std::string &weights) const;
+    /** @return replicas that hold the adapter or are about to. */
+    const std::map<ReplicaId, Residence> &holders(const std::string &weights) const;
+
+private:
+    struct Replica
+    {
+        int64_t bornAt = 0;
+        HostId newsFrom;
+        uint64_t newsSequence = 0;
+        Millis newsAt {-1};
+        std::vector<std::string> weights;
+    };
+
+    void replace(const ReplicaId &id, Replica &replica, std::map<std::string, Residence> held);
+
+    std::map<ReplicaId, Replica> m_replicas;
+    std::unordered_map<std::string, std::map<ReplicaId, Residence>> m_holders;
+};
+
+}
--- /dev/null
+++ b/serving/servingnode.h
@@ -0,0 +1,164 @@
+#pragma once
+
+#include "cluster/message.h"
+#include "core/ids.h"
+#include "core/random.h"
+#include "core/units.h"
+#include "serving/adapterversions.h"
+#include "serving/admission.h"
+#include "serving/backendtable.h"
+#include "serving/dispatcher.h"
+#include "serving/enginechooser.h"
+#include "serving/fleetmembers.h"
+#include "serving/ownertable.h"
+#include "serving/recordmirror.h"
+#include "serving/requestlog.h"
+#include "serving/residencymap.h"
+#include "serving/servingsettings.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace vanillaspar
+{
+class Clock;
+class EventLog;
+class PeerLink;
+}
+
+namespace vanillaspar::serving
+{
+
+class ReplicaOrders;
+class OrderPort;
+
+/** Turns records of the store into the types of this subsystem. */
+class RecordDecoder
+{
+public:
+    virtual ~RecordDecoder() = default;
+
+    /** @return the configuration, or nullptr if the record isn't one. @throws DecodeError if it can't be read. */
+    virtual std::shared_ptr<const ServingConfig> configuration(const StoredRecord &record) const = 0;
+    /** @throws DecodeError if the record can't be read. */
+    virtual Backend backend(const StoredRecord &record) const = 0;
+    /** @return "model/adapter" and its version. @throws DecodeError if the record can't be read. */
+    virtual std::pair<std::string, int64_t> adapterVersion(const StoredRecord &record) const = 0;
+};
+
+/** What the serving node works with. */
+struct ServingPorts
+{
+    const Clock &clock;
+    StateStore &store;
+    const RecordDecoder &decoder;
+    PeerLink &peers;
+    CallerPort &callers;
+    AttemptPort &attempts;
+    OrderPort &orders;
+    EventLog &log;
+    std::function<void(const CallerLimits &)> onLimits; ///< Called when the callers' limits changed.
+};
+
+/**
+ * Everything that one entry host decides on the platform, without sockets, threads or a clock of its own.
+ *
+ * Its parts: mirrors of the store's records, the hosts and their beats, who orders which replica's loads, admission and
+ * the dispatcher of requests.
+ */
+class ServingNode
+{
+public:
+    /** @param seed of its random numbers; another one in each life. */
+    ServingNode(ServingSettings settings, ServingPorts ports, uint64_t seed);
+    ~ServingNode();
+
+    void onRequest(ClientRequest request)
+    {
+        m_dispatcher.onRequest(std::move(request));
+    }
+    Dispatcher &dispatcher()
+    {
+        return m_dispatcher;
+    }
+    void onPeerMessage(const HostId &from, const Message &message);
+    /** Does what is due; to be called every few milliseconds. */
+    void tick();
+    /** Takes changed bounds. */
+    void setSettings(const ServingSettings &settings);
+
+    /** Starts a graceful shutdown. */
+    void beginDrain();
+    /** @return whether the shutdown is over and the process may end. */
+    bool isDrained() const;
+    /** @return whether callers should be sent here. */
+    bool isReady() const;
+    /** @return addresses that callers should use. */
+    std::vector<std::string> callerAddresses() const;
+
+private:
+    friend struct FleetMessageHandler;
+
+    void onConfiguration(const std::vector<StoredRecord> &records);
+    void onBackends(const std::vector<StoredRecord> &records);
+    void onVersions(const std::vector<StoredRecord> &records);
+    void onCoordination(const std::vector<StoredRecord> &records);
+    void onBeat(const HostId &from, const HostBeat &beat);
+    void onAsk(const AdapterAsk &ask);
+    void removeLapsed();
+    void followTrust();
+    void sendBeats();
+    void sendAsks();
+    void sendUses();
+    void stepOrders();
+    void tellNews();
+    void writeOwnRecord();
+    void assignOwners();
+    bool mayOrder(const ReplicaId &replica) const;
+    bool canOrder(const ReplicaId &replica) const;
+    ReplicaOrders *ordersOf(const ReplicaId &replica);
+    HostBeat makeBeat() const;
+    RecordProof proofOf(int64_t revision, Millis provenAt) const;
+
+    ServingSettings m_settings;
+    ServingPorts m_ports;
+    Random m_random;
+    Admission m_admission;
+    BackendTable m_backends;
+    ResidencyMap m_residency;
+    AdapterVersions m_versions;
+    FleetMembers m_members;
+    OwnerTable m_owners;
+    EngineChooser m_chooser;
+    RequestLog m_requestLog;
+    Dispatcher m_dispatcher;
+    RecordMirror m_configuration;
+    RecordMirror m_backendRecords;
+    RecordMirror m_versionRecords;
+    RecordMirror m_coordination;
+    std::map<ReplicaId, std::unique_ptr<ReplicaOrders>> m_orders;
+    std::map<ReplicaId, Millis> m_ownedSince; ///< When this host first saw itself as a replica's owner.
+    std::map<ReplicaId, Millis> m_lapsed; ///< Replicas whose entries went missing right after a store outage.
+    int64_t m_configRevision = 0;
+    int64_t m_ownersRevision = 0;
+    Millis m_configProvenAt {-1};
+    Millis m_ownersProvenAt {-1};
+    Millis m_startedAt;
+    Millis m_beatAt {0};
+    Millis m_askAt {0};
+    Millis m_useAt {0};
+    Millis m_recordAt {0};
+    Millis m_assignAt {0};
+    Millis m_modelLoadAt {0};
+    Millis m_drainStartedAt {-1};
+    bool m_isWritingRecord = false;
+    bool m_hasOwnRecord = false;
+    bool m_isAssigning = false;
+    bool m_wasTrusted = false;
+    std::string m_liveHosts; ///< As told in the log last.
+};
+
+}
--- a/tests/fakes/fleet.cpp
+++ b/tests/fakes/fleet.cpp
@@ -4,7 +4,7 @@
 #include "config/activeconfig.h"
 #include "config/documentcodec.h"
 #include "core/hash.h"
-#include "platform/objectcall.h"
+#include "objects/objectcall.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -381,8 +381,8 @@
     for (const auto &[replica, at] : account.leavingAt) {
         json["leaving"].push_back(replica.text());
     }
-    platform.set("platform/hosts", json.dump());
-    wakeWatches("platform/hosts");
+    platform.set("objects/hosts", json.dump());
+    wakeWatches("objects/hosts");
 }
 
 void Fleet::restartReplica(const ReplicaId &replica)
--- a/tests/fakes/fleet.h
+++ b/tests/fakes/fleet.h
@@ -10,7 +10,7 @@
 #include "node/metricsink.h"
 #include "node/node.h"
 #include "node/requestoutcome.h"
-#include "platform/objectapi.h"
+#include "objects/objectapi.h"
 #include "tests/fakes/account.h"
 #include "tests/fakes/virtualclock.h"
 #include "tests/standins/enginemodel.h"
--- a/tests/matrix/mutation.cpp
+++ b/tests/matrix/mutation.cpp
@@ -2,7 +2,7 @@
 
 #include "cluster/clusterstate.h"
 #include "core/hash.h"
-#include "platform/objectcall.h"
+#include "objects/objectcall.h"
 #include "tests/fakes/fleet.h"
 #include "tests/matrix/matrixrun.h"
 
@@ -57,7 +57,7 @@
 void dropHostList(Fleet &fleet)
 {
     fleet.alterReply = [](const ObjectCall &call, ObjectReply &reply) {
-        if (call.path == "platform/hosts") {
+        if (call.path == "objects/hosts") {
             reply.status = ObjectReply::Status::Missing;
         }
     };
--- a/tests/node/staleordertest.cpp
+++ b/tests/node/staleordertest.cpp
@@ -1,6 +1,6 @@
 // An unload order that is held up past the long lease, by a pause between the decision and the sending.
 
-#include "platform/objectcall.h"
+#include "objects/objectcall.h"
 #include "tests/fakes/fleet.h"
 #include "tests/matrix/scenario.h"
 
--- a/tests/standins/objecttable.h
+++ b/tests/standins/objecttable.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "platform/objectcall.h"
-#include "platform/objectreply.h"
+#include "objects/objectcall.h"
+#include "objects/objectreply.h"
 
 #include <map>
 #include <string>
