--- a/net/descriptorwatch.cpp
+++ b/net/descriptorwatch.cpp
@@ -77,9 +77,9 @@
         const std::shared_ptr<Link> keep = std::move(link->self);
         lws_set_opaque_user_data(wsi, nullptr);
         keep->wsi = nullptr;
-        if (!keep->isDetached && keep->handlers.onReadable) {
-            const auto handler = keep->handlers.onReadable;
-            handler(); // the descriptor is still open, so its owner reads the rest and the error
+        if (!keep->isDetached && keep->handlers.onClosing) {
+            const auto handler = keep->handlers.onClosing;
+            handler();
         }
         return 0;
     }
--- a/net/descriptorwatch.h
+++ b/net/descriptorwatch.h
@@ -20,8 +20,9 @@
 public:
     struct Handlers
     {
-        std::function<void()> onReadable; ///< Also called once when the descriptor has failed.
+        std::function<void()> onReadable;
         std::function<void()> onWritable;
+        std::function<void()> onClosing; ///< The descriptor has failed and is closed after this call.
     };
 
     /** @throws ResourceError if libwebsockets can't take the descriptor; it is closed then. */
--- a/net/streamsocket.cpp
+++ b/net/streamsocket.cpp
@@ -76,6 +76,9 @@
                                                                            },
                                                                            [this] {
                                                                                onWritable();
+                                                                           },
+                                                                           [this] {
+                                                                               onClosing();
                                                                            }});
 }
 
@@ -192,6 +195,16 @@
     }
 }
 
+void StreamSocket::onClosing()
+{
+    // The descriptor's number may be given to another connection after this, so the socket must not use it again.
+    const std::shared_ptr<bool> alive = m_alive;
+    onReadable();
+    if (*alive) {
+        end(SocketEnd::Reset);
+    }
+}
+
 void StreamSocket::end(SocketEnd how)
 {
     if (m_isEnded) {
--- a/net/streamsocket.h
+++ b/net/streamsocket.h
@@ -71,6 +71,7 @@
     void watch(Loop &loop);
     void onReadable();
     void onWritable();
+    void onClosing();
     void flush();
     void end(SocketEnd how);
 
--- a/serving/replicaorders.cpp
+++ b/serving/replicaorders.cpp
@@ -44,7 +44,7 @@
 
 void ReplicaOrders::reset()
 {
-    ++m_generation;
+    m_life = std::make_shared<bool>(true);
     m_count.reset();
     m_places.clear();
     m_models.clear();
@@ -149,11 +149,11 @@
     }
     const ModelSpec &model = terms.engine.models.front();
     m_isBusy = true;
-    const uint64_t generation = m_generation;
+    const std::weak_ptr<bool> life = m_life;
     const Millis loadTime = model.loadTime;
     m_port.order(terms.backend, {true, model.name, terms.host, terms.fence, m_count},
-                 [this, generation, now, loadTime](OrderResult result) {
-                     if (generation != m_generation) {
+                 [this, life, now, loadTime](OrderResult result) {
+                     if (life.expired()) {
                          return;
                      }
                      m_isBusy = false;
@@ -223,11 +223,11 @@
 void ReplicaOrders::orderLoad(const OrderTerms &terms, const std::string &weights, Millis now)
 {
     m_isBusy = true;
-    const uint64_t generation = m_generation;
+    const std::weak_ptr<bool> life = m_life;
     const int64_t version = terms.versions.newest(weights);
     m_port.order(terms.backend, {true, weights, terms.host, terms.fence, m_count},
-                 [this, generation, weights, version, now](OrderResult result) {
-                     if (generation == m_generation) {
+                 [this, life, weights, version, now](OrderResult result) {
+                     if (!life.expired()) {
                          onLoadResult(result, weights, version, now);
                      }
                  });
@@ -259,12 +259,12 @@
 void ReplicaOrders::orderUnload(const OrderTerms &terms, const std::string &weights, Millis now)
 {
     m_isBusy = true;
-    const uint64_t generation = m_generation;
+    const std::weak_ptr<bool> life = m_life;
     m_places[weights].isLeaving = true; // nobody is sent to it while the order is under way
     m_hasNews = true;
     m_port.order(terms.backend, {false, weights, terms.host, terms.fence, m_count},
-                 [this, generation, weights, now](OrderResult result) {
-                     if (generation == m_generation) {
+                 [this, life, weights, now](OrderResult result) {
+                     if (!life.expired()) {
                          onUnloadResult(result, weights, now);
                      }
                  });
@@ -317,9 +317,9 @@
 void ReplicaOrders::askReport(const OrderTerms &terms, Millis now)
 {
     m_isBusy = true;
-    const uint64_t generation = m_generation;
-    m_port.report(terms.backend, [this, generation, now](const std::optional<Holdings> &holdings) {
-        if (generation == m_generation) {
+    const std::weak_ptr<bool> life = m_life;
+    m_port.report(terms.backend, [this, life, now](const std::optional<Holdings> &holdings) {
+        if (!life.expired()) {
             m_isBusy = false;
             onReport(holdings, now);
         }
--- a/serving/replicaorders.h
+++ b/serving/replicaorders.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -114,7 +115,7 @@
     std::map<std::string, Want> m_wants;
     std::map<HostId, HostUse> m_uses;
     std::deque<std::string> m_remembered; ///< Adapters held before, which load from the replica's own memory.
-    uint64_t m_generation = 0; ///< Answers to calls from before a reset() are told by it.
+    std::shared_ptr<bool> m_life = std::make_shared<bool>(true); ///< Answers to calls of an earlier one are dropped.
     uint64_t m_sequence;
     bool m_isBusy = false; ///< An order or a report is under way.
     bool m_isLoadingModel = false;
