--- a/serving/enginechooser.cpp
+++ b/serving/enginechooser.cpp
@@ -23,6 +23,11 @@
 // The batch is full; what is sent beyond would only wait there, out of reach of a better place.
 constexpr double fullLoad = 1.0;
 
+std::string modelOf(const std::string &weights)
+{
+    return weights.substr(0, weights.find('/'));
+}
+
 }
 
 EngineChooser::EngineChooser(BackendTable &backends, ResidencyMap &residency, const AdapterVersions &versions,
@@ -109,19 +114,24 @@
     if (isComing || leastLoad < spreadLoad) {
         return choice;
     }
-    // Another home: the first that has room and whose loads are ordered by a host that is there.
+    usable.erase(std::remove_if(usable.begin(), usable.end(),
+                                [&](const BackendState *state) {
+                                    return !m_canOrder(state->info.id)
+                                        || m_residency.find(state->info.id, modelOf(weights)) == nullptr;
+                                }),
+                 usable.end());
+    // Another home: the first that has room, of those that hold the base model and take orders.
     for (BackendState *state : homes(weights, usable)) {
         const bool isHolder = holders.count(state->info.id) > 0
             && (holders.at(state->info.id).version >= required || holders.at(state->info.id).readyAt > now);
-        if (!isHolder && loadOf(*state, &engine) < spreadLoad && now >= state->avoidUntil
-            && m_canOrder(state->info.id)) {
+        if (!isHolder && loadOf(*state, &engine) < spreadLoad && now >= state->avoidUntil) {
             choice.loadOn = state;
             return choice;
         }
     }
     if (choice.backend == nullptr) {
         for (BackendState *state : homes(weights, usable)) {
-            if (holders.count(state->info.id) == 0 && m_canOrder(state->info.id)) {
+            if (holders.count(state->info.id) == 0) {
                 choice.loadOn = state;
                 return choice;
             }
--- a/serving/replicaorders.cpp
+++ b/serving/replicaorders.cpp
@@ -28,7 +28,8 @@
 constexpr Millis shortestStay(150);
 constexpr Millis newsInterval(500);
 constexpr size_t mostRemembered = 64; // adapters, somewhat below what a replica's memory keeps on the known engines
-constexpr double loadTimeMargin = 1.3; // a base model is looked for in reports after its load time and a third
+// A base model is looked for in reports from its load time on; they lag, but not all by the same.
+constexpr Millis modelReportLag(150);
 
 std::string modelOf(const std::string &weights)
 {
@@ -160,9 +161,7 @@
                      if (noteResult(result, now) && result == OrderResult::Accepted) {
                          m_isLoadingModel = true;
                          m_count.reset();
-                         m_nextAt = now
-                             + Millis(static_cast<int64_t>(static_cast<double>(loadTime.value) * loadTimeMargin))
-                             + reportLag;
+                         m_nextAt = now + loadTime + modelReportLag;
                      }
                  });
     m_log.record(EventCode::ModelOrdered, m_replica.text(), "load " + model.name);
--- a/serving/servingnode.cpp
+++ b/serving/servingnode.cpp
@@ -39,6 +39,8 @@
 constexpr Millis beatInterval(100);
 constexpr Millis askInterval(30);
 constexpr Millis useInterval(200);
+// Of the weight store's rate for base models: hosts that begin a load at the same moment must fit under it too.
+constexpr double modelLoadPart = 0.85;
 constexpr Millis retryWrite(500);
 constexpr Millis assignInterval(500);
 // All hosts of a first start are there by then, so that replicas are shared out evenly at once.
@@ -514,7 +516,8 @@
         orders->setFleetLoads(slowLoads * hosts);
         const EngineSpec &engine = *pool->second.engine;
         // Every host keeps to its even part of the weight store's rate.
-        const double spacing = engine.loadsPerSecond > 0 ? static_cast<double>(hosts) * 1000 / engine.loadsPerSecond : 0;
+        const double rate = engine.loadsPerSecond * modelLoadPart;
+        const double spacing = rate > 0 ? static_cast<double>(hosts) * 1000 / rate : 0;
         const bool mayLoadModel = now - m_modelLoadAt >= Millis(static_cast<int64_t>(spacing));
         if (orders->step({state->info, engine, m_versions, m_settings.host, Epoch(entry.fence), mayLoadModel}, now)) {
             m_modelLoadAt = now;
