--- a/cluster/messages/fleet.h
+++ b/cluster/messages/fleet.h
@@ -61,6 +61,8 @@
     bool isReady = false;
     bool isStopping = false;
     bool reachesStore = false;
+    uint16_t modelLoads = 0; ///< Base models that the sender has ordered and that are being loaded.
+    int64_t backendsRevision = 0; ///< Newest change of a replica that matters for where work goes.
     RecordProof configuration;
     RecordProof owners;
     std::vector<ReplicaUse> uses;
@@ -69,7 +71,8 @@
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(incarnation, sequence, echoed, isReady, isStopping, reachesStore, configuration, owners, uses, teams);
+        archive(incarnation, sequence, echoed, isReady, isStopping, reachesStore, modelLoads, backendsRevision, configuration,
+                owners, uses, teams);
     }
 };
 
--- a/policy/fleetquota.h
+++ b/policy/fleetquota.h
@@ -32,7 +32,7 @@
     /** Takes what a host has admitted since it started. @param incarnation tells its lives apart. */
     void onReport(const HostId &host, const std::string &incarnation, int64_t admitted, Millis now);
 
-    /** Admits a request if the bucket holds its cost. */
+    /** Admits a request if the bucket holds its cost, or a fair part of it if it is a large one. */
     bool take(double cost, Millis now);
     /** Gives back the cost of a request that was admitted a moment ago and never sent on. */
     void giveBack(double cost, Millis now);
@@ -60,6 +60,8 @@
 
     void refill(Millis now);
     double ownPart() const;
+    /** @return the tokens that the bucket must hold to admit a request. */
+    double neededFor(double cost) const;
 
     double m_rate = 0;
     double m_burst = 0;
--- a/serving/dispatcher.cpp
+++ b/serving/dispatcher.cpp
@@ -20,9 +20,10 @@
 {
 
 constexpr Millis defaultPatience(10000); // of a caller that names no deadline
-// A request that still waits after this part of its time is refused: what is left must suffice to run, and the caller
-// may come back within its own deadline.
-constexpr double waitingPart = 0.5;
+// A request that still waits after so many objectives is refused, and so is one that is expected to wait for longer: it
+// would be late by then, and its caller may still come back in time for a late answer.
+constexpr int64_t lateObjectives = 1;
+constexpr Millis shortestWait(200); // for routes whose objective is shorter than a replica's hiccup
 constexpr int mostSends = 4; // of one request; each is cheap to refuse, but counts against the retry budget
 constexpr Millis repeatPause(25); // before a request goes to a replica that has just refused it
 constexpr Millis overloadRetry(300); // about the time a batch needs to end a few of its requests
@@ -101,8 +102,8 @@
     flow.tokens = flow.request.tokens.value_or(Tokens(0)).value;
     flow.objectiveAt = flow.request.receivedAt + admitted.route->objective;
     flow.endAt = flow.request.receivedAt + allowed;
-    flow.giveUpAt = flow.request.receivedAt
-        + Millis(static_cast<int64_t>(static_cast<double>(allowed.value) * waitingPart));
+    flow.objective = std::max(admitted.route->objective, shortestWait);
+    flow.giveUpAt = std::min(flow.request.receivedAt + flow.objective * (1 + lateObjectives), flow.endAt);
     const uint64_t exchange = flow.request.exchange;
     m_flows.emplace(exchange, std::move(owned));
     budgetOf(flow.pool).onRequest(now);
@@ -111,9 +112,29 @@
 
 void Dispatcher::settle(Flow &flow)
 {
-    if (place(flow) == Placement::Waits) {
-        queue(flow);
+    if (place(flow) != Placement::Waits) {
+        return;
+    }
+    const Millis now = m_context.clock.now();
+    const Millis wait = expectedWait(flow);
+    if (now + wait > flow.objectiveAt + flow.objective * lateObjectives) {
+        refuse(flow, {RefusalCode::Overloaded, RunState::NotRun, std::max(wait, overloadRetry),
+                      "expected wait " + std::to_string(wait.value) + " ms"});
+        return;
     }
+    queue(flow);
+}
+
+Millis Dispatcher::expectedWait(const Flow &flow)
+{
+    int64_t ahead = 0;
+    for (const auto &[key, exchange] : m_waiting) {
+        if (key.first > flow.priority) {
+            break;
+        }
+        ahead += m_flows.at(exchange)->pool == flow.pool ? 1 : 0;
+    }
+    return m_waitEstimates[flow.pool].forQueue(ahead, m_context.clock.now());
 }
 
 Dispatcher::Placement Dispatcher::place(Flow &flow)
@@ -228,9 +249,14 @@
         }
         Flow &flow = *entry->second;
         const WaitingKey key {flow.priority, flow.request.exchange};
-        if (place(flow) != Placement::Waits) {
+        const PoolId pool = flow.pool;
+        const Placement placement = place(flow);
+        if (placement != Placement::Waits) {
             m_waiting.erase(key);
         }
+        if (placement == Placement::Sent) {
+            m_waitEstimates[pool].onSent(m_context.clock.now());
+        }
     }
 }
 
--- a/serving/dispatcher.h
+++ b/serving/dispatcher.h
@@ -5,6 +5,7 @@
 #include "core/units.h"
 #include "net/httpupstream.h"
 #include "policy/retrybudget.h"
+#include "policy/waitestimate.h"
 #include "serving/attemptport.h"
 #include "serving/flow.h"
 
@@ -111,6 +112,8 @@
     Placement placeOnService(Flow &flow);
     void send(Flow &flow, BackendState &backend);
     void settle(Flow &flow);
+    /** @return how long a request that joins the queue now would wait. */
+    Millis expectedWait(const Flow &flow);
     void queue(Flow &flow);
     void leaveQueue(const Flow &flow);
     void tryElsewhere(Flow &flow, bool countsAsRepeat, RefusalCode code, const std::string &why);
@@ -129,6 +132,7 @@
     std::unordered_map<uint64_t, uint64_t> m_exchangeByAttempt;
     std::map<WaitingKey, uint64_t> m_waiting; ///< Exchanges; the next to be sent first.
     std::map<PoolId, RetryBudget> m_budgets;
+    std::map<PoolId, WaitEstimate> m_waitEstimates;
     std::map<LoadPlace, int64_t> m_wantedLoads; ///< With the requests that need them.
     std::set<LoadPlace> m_missing; ///< Adapters that replicas denied holding.
     uint64_t m_nextAttempt = 1;
--- a/serving/recordmirror.h
+++ b/serving/recordmirror.h
@@ -42,13 +42,18 @@
 
     /** Starts the calls that are due. */
     void tick();
-    void setWait(Millis wait)
+    void setPace(MirrorPace pace)
     {
-        m_pace.wait = wait;
+        m_pace = pace;
     }
     /** Asks at once instead of waiting for the present watch; at most every few tens of milliseconds. */
     void refresh();
 
+    /** @return the store's revision up to which changes are known. */
+    int64_t asOf() const
+    {
+        return m_asOf;
+    }
     /** @return whether the whole collection was read. */
     bool isLoaded() const
     {
--- a/serving/replicaorders.h
+++ b/serving/replicaorders.h
@@ -60,6 +60,11 @@
     std::optional<ResidencyNews> takeNews(const Backend &backend, Millis now);
     /** @return loads that are on their way from the weight store. */
     int64_t slowLoads(Millis now) const;
+    /** @return whether a base model is being loaded. */
+    bool isLoadingModel() const
+    {
+        return m_isLoadingModel;
+    }
     /** Says how many slow loads are on their way in the whole fleet, as far as is known. */
     void setFleetLoads(int64_t loads)
     {
--- a/serving/servingnode.cpp
+++ b/serving/servingnode.cpp
@@ -25,8 +25,11 @@
 constexpr Millis otherConfigWait(2500);
 constexpr Millis longWait(10000);
 constexpr Millis configGap(20);
-// Changes of replicas are taken in batches: four of these fit into the time in which a leaving one may get work.
-constexpr Millis backendGap(450);
+// Replicas write often, mostly about adapters, which the hosts tell each other sooner. The first host follows closely and
+// names the changes that matter in its beats; the others ask then, and on their own within the time in which a leaving
+// replica may get work.
+constexpr Millis firstBackendGap(400);
+constexpr Millis otherBackendGap(1400);
 constexpr Millis versionGap(300);
 constexpr Millis coordinationGap(100);
 // A proof older than this is renewed at once; half of the usual bound on withdrawn keys.
@@ -41,6 +44,9 @@
 constexpr Millis useInterval(200);
 // Of the weight store's rate for base models: hosts that begin a load at the same moment must fit under it too.
 constexpr double modelLoadPart = 0.85;
+// Base models that the weight store gives out at full speed, by the users' sheets (2 and 3). More at once only make each
+// other late: two that take turns are both of use sooner than two that share.
+constexpr int64_t fullSpeedModelLoads = 2;
 constexpr Millis retryWrite(500);
 constexpr Millis assignInterval(500);
 // All hosts of a first start are there by then, so that replicas are shared out evenly at once.
@@ -117,7 +123,7 @@
                       [this](const std::vector<StoredRecord> &records) {
                           onConfiguration(records);
                       })
-    , m_backendRecords(m_ports.store, Collection::Backends, {longWait, backendGap}, m_ports.clock, m_random, m_ports.log,
+    , m_backendRecords(m_ports.store, Collection::Backends, {longWait, firstBackendGap}, m_ports.clock, m_random, m_ports.log,
                        [this](const std::vector<StoredRecord> &records) {
                            onBackends(records);
                        })
@@ -181,6 +187,7 @@
                 m_lapsed.emplace(id, recoveredAt + lapseGrace);
             } else {
                 m_backends.remove(id, now);
+                m_backendsRevision = std::max(m_backendsRevision, record.revision);
                 m_ports.log.record(EventCode::ReplicaLeaving, id.text(), "its entry was removed");
             }
             continue;
@@ -189,6 +196,10 @@
             Backend backend = m_ports.decoder.backend(record);
             m_lapsed.erase(id);
             const BackendState *known = m_backends.find(id);
+            if (known == nullptr || known->info.isLeaving != backend.isLeaving
+                || known->info.holdings.bornAt != backend.holdings.bornAt) {
+                m_backendsRevision = std::max(m_backendsRevision, record.revision);
+            }
             if (backend.isLeaving && (known == nullptr || !known->info.isLeaving)) {
                 m_ports.log.record(EventCode::ReplicaLeaving, id.text(), "it says that it leaves");
             }
@@ -287,6 +298,9 @@
     } else if (beat.configuration.revision == m_configRevision) {
         m_configProvenAt = std::max(m_configProvenAt, m_members.proofTime(beat, beat.configuration));
     }
+    if (beat.backendsRevision > m_backendRecords.asOf() && m_backendRecords.isLoaded()) {
+        m_backendRecords.refresh();
+    }
     if (beat.owners.revision > m_ownersRevision && m_coordination.isLoaded()) {
         m_coordination.refresh();
     } else if (beat.owners.revision == m_ownersRevision) {
@@ -307,7 +321,9 @@
                            "proven " + std::to_string((now - m_configProvenAt).value) + " ms ago");
     }
     m_wasTrusted = isTrusted;
-    m_configuration.setWait(m_members.isFirst(now) ? firstConfigWait : otherConfigWait);
+    const bool isFirst = m_members.isFirst(now);
+    m_configuration.setPace({isFirst ? firstConfigWait : otherConfigWait, configGap});
+    m_backendRecords.setPace({longWait, isFirst ? firstBackendGap : otherBackendGap});
     if (now - m_configProvenAt > proofRefresh && m_configuration.isLoaded()) {
         m_configuration.refresh();
     }
@@ -364,6 +380,8 @@
     beat.isReady = isReady();
     beat.isStopping = m_drainStartedAt.value >= 0;
     beat.reachesStore = m_configuration.isReachable() && now - m_configuration.provenAt() < storeSilence;
+    beat.modelLoads = static_cast<uint16_t>(modelLoads());
+    beat.backendsRevision = m_backendsRevision;
     beat.configuration = proofOf(m_configRevision, m_configProvenAt);
     beat.owners = proofOf(m_ownersRevision, m_ownersProvenAt);
     beat.uses = m_backends.ownUse();
@@ -498,6 +516,10 @@
         slowLoads += orders->slowLoads(now);
     }
     const int64_t hosts = static_cast<int64_t>(m_members.peers().size()) + 1;
+    int64_t fleetModelLoads = modelLoads();
+    for (const auto &[host, member] : m_members.peers()) {
+        fleetModelLoads += m_members.isLive(host, now) ? member.beat.modelLoads : 0;
+    }
     for (const auto &[replica, entry] : m_owners.entries()) {
         if (entry.host != m_settings.host || !mayOrder(replica)) {
             continue;
@@ -518,13 +540,22 @@
         // Every host keeps to its even part of the weight store's rate.
         const double rate = engine.loadsPerSecond * modelLoadPart;
         const double spacing = rate > 0 ? static_cast<double>(hosts) * 1000 / rate : 0;
-        const bool mayLoadModel = now - m_modelLoadAt >= Millis(static_cast<int64_t>(spacing));
+        const bool mayLoadModel
+            = fleetModelLoads < fullSpeedModelLoads && now - m_modelLoadAt >= Millis(static_cast<int64_t>(spacing));
         if (orders->step({state->info, engine, m_versions, m_settings.host, Epoch(entry.fence), mayLoadModel}, now)) {
             m_modelLoadAt = now;
+            ++fleetModelLoads;
         }
     }
 }
 
+int64_t ServingNode::modelLoads() const
+{
+    return std::count_if(m_orders.begin(), m_orders.end(), [](const auto &entry) {
+        return entry.second->isLoadingModel();
+    });
+}
+
 void ServingNode::tellNews()
 {
     const Millis now = m_ports.clock.now();
--- a/serving/servingnode.h
+++ b/serving/servingnode.h
@@ -109,6 +109,7 @@
     void onBeat(const HostId &from, const HostBeat &beat);
     void onAsk(const AdapterAsk &ask);
     void removeLapsed();
+    int64_t modelLoads() const;
     void followTrust();
     void sendBeats();
     void sendAsks();
@@ -144,6 +145,7 @@
     std::map<ReplicaId, Millis> m_lapsed; ///< Replicas whose entries went missing right after a store outage.
     int64_t m_configRevision = 0;
     int64_t m_ownersRevision = 0;
+    int64_t m_backendsRevision = 0; ///< Newest change of a replica that matters for where work goes.
     Millis m_configProvenAt {-1};
     Millis m_ownersProvenAt {-1};
     Millis m_startedAt;
