--- a/policy/fleetquota.cpp
+++ b/policy/fleetquota.cpp
@@ -9,7 +9,7 @@
 {
 
 constexpr double millisPerSecond = 1000;
-constexpr double largestShare = 0.005; // of a second's tokens: about one request of the usual size
+constexpr double largestShare = 0.1; // of a second's tokens: a few requests of the usual size
 constexpr Millis longestWait(10000); // named to a caller when the bucket will not hold the cost at all
 
 }
--- a/serving/dispatcher.cpp
+++ b/serving/dispatcher.cpp
@@ -338,6 +338,7 @@
         return;
     }
     flow->isAnswering = true;
+    flow->answeredAt = m_context.clock.now();
     m_context.callers.startAnswer(flow->request.exchange, head.head);
 }
 
--- a/serving/flow.h
+++ b/serving/flow.h
@@ -34,6 +34,7 @@
     uint64_t attempt = 0; ///< 0 while it waits.
     ReplicaId replica; ///< Where the attempt is.
     Millis sentAt;
+    Millis answeredAt {-1}; ///< When the start of the answer was passed on.
     bool isAnswering = false; ///< Whether the answer's start was passed on.
     bool isRejected = false; ///< Whether the replica said that it has not run it.
     bool isMisdirected = false; ///< The adapter isn't there, or another server has the address.
@@ -44,7 +45,6 @@
     std::set<ReplicaId> ranOn; ///< Replicas that it may have run on.
     std::set<ReplicaId> avoided; ///< Replicas that could not take it.
     Millis retryAt {0}; ///< Not to be sent before.
-    Millis askedAt {-1}; ///< When an adapter was asked for last.
 
     /** @return whether it may run more than once. */
     bool isRepeatable() const
--- a/serving/requestlog.cpp
+++ b/serving/requestlog.cpp
@@ -48,8 +48,12 @@
 
 void RequestLog::onServed(const Flow &flow, Millis now)
 {
-    if (m_served++ % servedSample == 0 && mayWrite(now)) {
-        m_log.record(EventCode::RequestServed, flow.request.id.text(), describe(flow, now));
+    const bool isLate = flow.answeredAt > flow.objectiveAt;
+    if ((isLate || m_served++ % servedSample == 0) && mayWrite(now)) {
+        m_log.record(EventCode::RequestServed, flow.request.id.text(),
+                     describe(flow, now) + " waited_ms=" + std::to_string((flow.sentAt - flow.request.receivedAt).value)
+                         + " answer_after_ms=" + std::to_string((flow.answeredAt - flow.request.receivedAt).value)
+                         + (isLate ? " late=yes" : " late=no"));
     }
 }
 
