--- a/cluster/messages/fleet.h
+++ b/cluster/messages/fleet.h
@@ -18,11 +18,12 @@
     uint32_t replica = 0; ///< Short hash of the replica's id.
     uint16_t running = 0; ///< Requests of this host.
     uint32_t tokens = 0; ///< Tokens of these requests.
+    uint32_t unread = 0; ///< Prompt tokens of those that have not begun to answer.
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(replica, running, tokens);
+        archive(replica, running, tokens, unread);
     }
 };
 
@@ -61,6 +62,7 @@
     bool isReady = false;
     bool isStopping = false;
     bool reachesStore = false;
+    uint16_t slowLoads = 0; ///< Adapters that the sender has ordered and that are on their way from the weight store.
     uint16_t modelLoads = 0; ///< Base models that the sender has ordered and that are being loaded.
     int64_t backendsRevision = 0; ///< Newest change of a replica that matters for where work goes.
     RecordProof configuration;
@@ -71,7 +73,7 @@
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(incarnation, sequence, echoed, isReady, isStopping, reachesStore, modelLoads, backendsRevision, configuration,
+        archive(incarnation, sequence, echoed, isReady, isStopping, reachesStore, slowLoads, modelLoads, backendsRevision, configuration,
                 owners, uses, teams);
     }
 };
--- a/serving/backendtable.cpp
+++ b/serving/backendtable.cpp
@@ -109,6 +109,7 @@
     for (const auto &[id, state] : m_backends) {
         state->peerRunning = 0;
         state->peerTokens = 0;
+        state->peerUnread = 0;
     }
     for (const auto &[host, uses] : m_peerUses) {
         for (const ReplicaUse &use : uses) {
@@ -116,6 +117,7 @@
             if (state != m_byShortId.end()) {
                 state->second->peerRunning += use.running;
                 state->second->peerTokens += use.tokens;
+                state->second->peerUnread += use.unread;
             }
         }
     }
@@ -127,17 +129,25 @@
     for (const auto &[id, state] : m_backends) {
         if (state->ownRunning > 0) {
             uses.push_back({state->shortId, static_cast<uint16_t>(std::min<int64_t>(state->ownRunning, UINT16_MAX)),
-                            static_cast<uint32_t>(state->ownTokens)});
+                            static_cast<uint32_t>(state->ownTokens), static_cast<uint32_t>(state->ownUnread)});
         }
     }
     return uses;
 }
 
-void BackendTable::onSent(const ReplicaId &id, int64_t tokens)
+void BackendTable::onSent(const ReplicaId &id, int64_t tokens, int64_t unread)
 {
     if (BackendState *state = find(id)) {
         ++state->ownRunning;
         state->ownTokens += tokens;
+        state->ownUnread += unread;
+    }
+}
+
+void BackendTable::onRead(const ReplicaId &id, int64_t unread)
+{
+    if (BackendState *state = find(id)) {
+        state->ownUnread -= unread;
     }
 }
 
--- a/serving/backendtable.h
+++ b/serving/backendtable.h
@@ -27,6 +27,8 @@
     int64_t ownTokens = 0;
     int64_t peerRunning = 0; ///< Requests of the other hosts, by their last reports.
     int64_t peerTokens = 0;
+    int64_t ownUnread = 0; ///< Prompt tokens of this host's requests that have not begun to answer.
+    int64_t peerUnread = 0;
     double failureRate = 0; ///< Decayed part of this host's requests that it failed, 0 to 1.
     Millis avoidUntil {0}; ///< Not to be chosen until then while another one can be.
     int consecutiveFailures = 0;
@@ -68,7 +70,10 @@
     /** @return this host's own use, for its reports. */
     std::vector<ReplicaUse> ownUse() const;
 
-    void onSent(const ReplicaId &id, int64_t tokens);
+    /** A request was sent. @param tokens it takes of the engine's memory. @param unread of its prompt. */
+    void onSent(const ReplicaId &id, int64_t tokens, int64_t unread);
+    /** A request began to answer, or ended before. */
+    void onRead(const ReplicaId &id, int64_t unread);
     void onEnded(const ReplicaId &id, int64_t tokens);
     void onSuccess(const ReplicaId &id);
     /** @param isUnreachable whether it could not be connected to, rather than failing a request. */
--- a/serving/clientrequest.h
+++ b/serving/clientrequest.h
@@ -24,6 +24,7 @@
     std::string key; ///< Empty if none was shown.
     std::string weights; ///< "model" or "model/adapter"; empty for a plain service.
     std::optional<Tokens> tokens; ///< Prompt and most output tokens together.
+    Tokens promptTokens;
     std::optional<Millis> patience; ///< How long the caller will wait.
     Millis receivedAt;
 
--- a/serving/dispatcher.cpp
+++ b/serving/dispatcher.cpp
@@ -220,7 +220,8 @@
     flow.hasFailed = false;
     ++flow.sendCount;
     m_exchangeByAttempt[flow.attempt] = flow.request.exchange;
-    m_context.backends.onSent(backend.info.id, flow.tokens);
+    flow.unread = flow.request.promptTokens.value;
+    m_context.backends.onSent(backend.info.id, flow.tokens, flow.unread);
     m_context.attempts.send(flow.attempt, backend.info, flow.request,
                             {flow.endAt - now, flow.team, flow.priority, flow.isRepeatable()});
 }
@@ -339,6 +340,8 @@
     }
     flow->isAnswering = true;
     flow->answeredAt = m_context.clock.now();
+    m_context.backends.onRead(flow->replica, flow->unread);
+    flow->unread = 0;
     m_context.callers.startAnswer(flow->request.exchange, head.head);
 }
 
@@ -357,9 +360,7 @@
         return;
     }
     const Millis now = m_context.clock.now();
-    m_exchangeByAttempt.erase(attempt);
-    m_context.backends.onEnded(flow->replica, flow->tokens);
-    flow->attempt = 0;
+    releaseReplica(*flow);
     if (how == UpstreamEnd::NotSent) {
         m_context.backends.onFailure(flow->replica, true, now);
         flow->avoided.insert(flow->replica);
@@ -458,12 +459,20 @@
     erase(flow);
 }
 
+void Dispatcher::releaseReplica(Flow &flow)
+{
+    m_exchangeByAttempt.erase(flow.attempt);
+    m_context.backends.onRead(flow.replica, flow.unread);
+    m_context.backends.onEnded(flow.replica, flow.tokens);
+    flow.unread = 0;
+    flow.attempt = 0;
+}
+
 void Dispatcher::erase(Flow &flow)
 {
     if (flow.attempt != 0) {
         m_context.attempts.cancel(flow.attempt);
-        m_exchangeByAttempt.erase(flow.attempt);
-        m_context.backends.onEnded(flow.replica, flow.tokens);
+        releaseReplica(flow);
     }
     leaveQueue(flow);
     m_flows.erase(flow.request.exchange);
--- a/serving/dispatcher.h
+++ b/serving/dispatcher.h
@@ -123,6 +123,8 @@
     void refuse(Flow &flow, const Refusal &refusal);
     void breakOff(Flow &flow, const std::string &why);
     void endOverdue(Flow &flow);
+    /** The flow's attempt is over. */
+    void releaseReplica(Flow &flow);
     void erase(Flow &flow);
     Flow *findByAttempt(uint64_t attempt);
     RetryBudget &budgetOf(const PoolId &pool);
--- a/serving/enginechooser.cpp
+++ b/serving/enginechooser.cpp
@@ -22,6 +22,9 @@
 constexpr double spreadLoad = 0.6;
 // The batch is full; what is sent beyond would only wait there, out of reach of a better place.
 constexpr double fullLoad = 1.0;
+// Prompt tokens that wait to be read until a replica counts as full: about half a second on the users' engines, which
+// leaves the first event within the objectives.
+constexpr double fullReading = 16000;
 
 std::string modelOf(const std::string &weights)
 {
@@ -49,7 +52,8 @@
     }
     const double byTokens
         = static_cast<double>(state.ownTokens + state.peerTokens) / static_cast<double>(engine->cacheTokens);
-    return std::max(bySlots, byTokens);
+    const double byReading = static_cast<double>(state.ownUnread + state.peerUnread) / fullReading;
+    return std::max({bySlots, byTokens, byReading});
 }
 
 double EngineChooser::score(const BackendState &state, const EngineSpec &engine, Millis now) const
--- a/serving/flow.h
+++ b/serving/flow.h
@@ -26,6 +26,7 @@
     std::optional<TeamId> team;
     double cost = 0; ///< Taken from the team's quota.
     int64_t tokens = 0; ///< It takes that much of an engine's memory.
+    int64_t unread = 0; ///< Prompt tokens that the present attempt's replica still has to read.
     Millis objective;
     Millis objectiveAt; ///< An answer that begins later is late.
     Millis endAt; ///< The caller must have its final answer by then.
--- a/serving/replicaorders.cpp
+++ b/serving/replicaorders.cpp
@@ -38,8 +38,13 @@
 
 }
 
-ReplicaOrders::ReplicaOrders(ReplicaId replica, OrderPort &port, EventLog &log, uint64_t firstSequence)
-    : m_replica(std::move(replica)), m_port(port), m_log(log), m_sequence(firstSequence)
+ReplicaOrders::ReplicaOrders(ReplicaId replica, OrderPort &port, EventLog &log, uint64_t firstSequence,
+                             std::function<void()> onIdle)
+    : m_replica(std::move(replica))
+    , m_port(port)
+    , m_log(log)
+    , m_sequence(firstSequence)
+    , m_onIdle(std::move(onIdle))
 {
 }
 
@@ -228,6 +233,7 @@
                  [this, life, weights, version, now](OrderResult result) {
                      if (!life.expired()) {
                          onLoadResult(result, weights, version, now);
+                         m_onIdle();
                      }
                  });
 }
@@ -265,6 +271,7 @@
                  [this, life, weights, now](OrderResult result) {
                      if (!life.expired()) {
                          onUnloadResult(result, weights, now);
+                         m_onIdle();
                      }
                  });
 }
--- a/serving/replicaorders.h
+++ b/serving/replicaorders.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -44,8 +45,12 @@
 class ReplicaOrders
 {
 public:
-    /** @param firstSequence start of the news' numbers, higher than any of this host's earlier lives. */
-    ReplicaOrders(ReplicaId replica, OrderPort &port, EventLog &log, uint64_t firstSequence);
+    /**
+     * @param firstSequence start of the news' numbers, higher than any of this host's earlier lives.
+     * @param onIdle called when an order is over and the next may be due.
+     */
+    ReplicaOrders(ReplicaId replica, OrderPort &port, EventLog &log, uint64_t firstSequence,
+                  std::function<void()> onIdle);
 
     /** Starts over: another life of the replica, or another owner before. */
     void reset();
@@ -122,6 +127,7 @@
     std::deque<std::string> m_remembered; ///< Adapters held before, which load from the replica's own memory.
     std::shared_ptr<bool> m_life = std::make_shared<bool>(true); ///< Answers to calls of an earlier one are dropped.
     uint64_t m_sequence;
+    std::function<void()> m_onIdle;
     bool m_isBusy = false; ///< An order or a report is under way.
     bool m_isLoadingModel = false;
     bool m_hasNews = false;
--- a/serving/servingnode.cpp
+++ b/serving/servingnode.cpp
@@ -40,7 +40,7 @@
 constexpr Millis storeSilence(3500);
 
 constexpr Millis beatInterval(100);
-constexpr Millis askInterval(30);
+constexpr Millis askRepeat(100); // an ask or its effect may be lost
 constexpr Millis useInterval(200);
 // Of the weight store's rate for base models: hosts that begin a load at the same moment must fit under it too.
 constexpr double modelLoadPart = 0.85;
@@ -62,6 +62,8 @@
 constexpr Millis drainRefusing(2500); // before the end of the grace
 constexpr Millis drainEnd(400); // before the end of the grace
 
+constexpr double millisPerSecond = 1000;
+
 uint32_t shortHash(const std::string &text)
 {
     return static_cast<uint32_t>(stableHash(text));
@@ -351,10 +353,7 @@
         assignOwners();
     }
     m_dispatcher.tick();
-    if (now - m_askAt >= askInterval) {
-        m_askAt = now;
-        sendAsks();
-    }
+    sendAsks();
     if (now - m_useAt >= useInterval) {
         m_useAt = now;
         sendUses();
@@ -380,6 +379,7 @@
     beat.isReady = isReady();
     beat.isStopping = m_drainStartedAt.value >= 0;
     beat.reachesStore = m_configuration.isReachable() && now - m_configuration.provenAt() < storeSilence;
+    beat.slowLoads = static_cast<uint16_t>(slowLoads());
     beat.modelLoads = static_cast<uint16_t>(modelLoads());
     beat.backendsRevision = m_backendsRevision;
     beat.configuration = proofOf(m_configRevision, m_configProvenAt);
@@ -425,9 +425,22 @@
     }
 }
 
+void ServingNode::onRequest(ClientRequest request)
+{
+    m_dispatcher.onRequest(std::move(request));
+    sendAsks();
+}
+
 void ServingNode::sendAsks()
 {
+    const Millis now = m_ports.clock.now();
+    for (auto entry = m_askedAt.begin(); entry != m_askedAt.end();) {
+        entry = now - entry->second > askRepeat ? m_askedAt.erase(entry) : std::next(entry);
+    }
     for (const AdapterAsk &ask : m_dispatcher.takeAsks()) {
+        if (!m_askedAt.emplace(std::make_pair(ask.replica, ask.weights), now).second) {
+            continue;
+        }
         const OwnerEntry *entry = m_owners.find(ask.replica);
         if (entry == nullptr) {
             continue;
@@ -447,6 +460,7 @@
 {
     if (ReplicaOrders *orders = ordersOf(ask.replica)) {
         orders->onAsk(ask, m_ports.clock.now());
+        stepReplica(ask.replica);
     }
 }
 
@@ -505,48 +519,69 @@
 }
 
 void ServingNode::stepOrders()
+{
+    for (const auto &[replica, entry] : m_owners.entries()) {
+        if (entry.host == m_settings.host) {
+            stepReplica(replica);
+        }
+    }
+}
+
+void ServingNode::stepReplica(const ReplicaId &replica)
 {
     const Millis now = m_ports.clock.now();
     const ServingConfig *config = m_admission.config();
-    if (config == nullptr) {
+    const OwnerEntry *entry = m_owners.find(replica);
+    const BackendState *state = m_backends.find(replica);
+    if (config == nullptr || state == nullptr || !mayOrder(replica) || !state->isUsable() || now < state->avoidUntil) {
         return;
     }
-    int64_t slowLoads = 0;
-    for (const auto &[replica, orders] : m_orders) {
-        slowLoads += orders->slowLoads(now);
+    const auto pool = config->pools.find(state->info.pool);
+    if (pool == config->pools.end() || !pool->second.engine) {
+        return;
     }
-    const int64_t hosts = static_cast<int64_t>(m_members.peers().size()) + 1;
-    int64_t fleetModelLoads = modelLoads();
-    for (const auto &[host, member] : m_members.peers()) {
-        fleetModelLoads += m_members.isLive(host, now) ? member.beat.modelLoads : 0;
+    std::unique_ptr<ReplicaOrders> &orders = m_orders[replica];
+    if (orders == nullptr) {
+        const auto firstSequence = static_cast<uint64_t>(m_ports.clock.wallNow().value);
+        orders = std::make_unique<ReplicaOrders>(replica, m_ports.orders, m_ports.log, firstSequence, [this, replica] {
+            stepReplica(replica);
+        });
+        m_ports.log.record(EventCode::ReplicaTakenOver, replica.text(), "fence " + std::to_string(entry->fence));
     }
-    for (const auto &[replica, entry] : m_owners.entries()) {
-        if (entry.host != m_settings.host || !mayOrder(replica)) {
-            continue;
-        }
-        const BackendState *state = m_backends.find(replica);
-        const auto pool = state == nullptr ? config->pools.end() : config->pools.find(state->info.pool);
-        if (pool == config->pools.end() || !pool->second.engine || !state->isUsable() || now < state->avoidUntil) {
-            continue;
-        }
-        std::unique_ptr<ReplicaOrders> &orders = m_orders[replica];
-        if (orders == nullptr) {
-            const auto firstSequence = static_cast<uint64_t>(m_ports.clock.wallNow().value);
-            orders = std::make_unique<ReplicaOrders>(replica, m_ports.orders, m_ports.log, firstSequence);
-            m_ports.log.record(EventCode::ReplicaTakenOver, replica.text(), "fence " + std::to_string(entry.fence));
-        }
-        orders->setFleetLoads(slowLoads * hosts);
-        const EngineSpec &engine = *pool->second.engine;
-        // Every host keeps to its even part of the weight store's rate.
-        const double rate = engine.loadsPerSecond * modelLoadPart;
-        const double spacing = rate > 0 ? static_cast<double>(hosts) * 1000 / rate : 0;
-        const bool mayLoadModel
-            = fleetModelLoads < fullSpeedModelLoads && now - m_modelLoadAt >= Millis(static_cast<int64_t>(spacing));
-        if (orders->step({state->info, engine, m_versions, m_settings.host, Epoch(entry.fence), mayLoadModel}, now)) {
-            m_modelLoadAt = now;
-            ++fleetModelLoads;
+    const FleetLoads loads = fleetLoads();
+    orders->setFleetLoads(loads.adapters);
+    const EngineSpec &engine = *pool->second.engine;
+    // Every host keeps to its even part of the weight store's rate.
+    const double rate = engine.loadsPerSecond * modelLoadPart;
+    const auto hosts = static_cast<double>(m_members.peers().size() + 1);
+    const Millis spacing(rate > 0 ? static_cast<int64_t>(hosts * millisPerSecond / rate) : 0);
+    const bool mayLoadModel = loads.models < fullSpeedModelLoads && now - m_modelLoadAt >= spacing;
+    if (orders->step({state->info, engine, m_versions, m_settings.host, Epoch(entry->fence), mayLoadModel}, now)) {
+        m_modelLoadAt = now;
+    }
+}
+
+ServingNode::FleetLoads ServingNode::fleetLoads() const
+{
+    const Millis now = m_ports.clock.now();
+    FleetLoads loads {slowLoads(), modelLoads()};
+    for (const auto &[host, member] : m_members.peers()) {
+        if (m_members.isLive(host, now)) {
+            loads.adapters += member.beat.slowLoads;
+            loads.models += member.beat.modelLoads;
         }
     }
+    return loads;
+}
+
+int64_t ServingNode::slowLoads() const
+{
+    const Millis now = m_ports.clock.now();
+    int64_t loads = 0;
+    for (const auto &[replica, orders] : m_orders) {
+        loads += orders->slowLoads(now);
+    }
+    return loads;
 }
 
 int64_t ServingNode::modelLoads() const
--- a/serving/servingnode.h
+++ b/serving/servingnode.h
@@ -76,10 +76,7 @@
     ServingNode(ServingSettings settings, ServingPorts ports, uint64_t seed);
     ~ServingNode();
 
-    void onRequest(ClientRequest request)
-    {
-        m_dispatcher.onRequest(std::move(request));
-    }
+    void onRequest(ClientRequest request);
     Dispatcher &dispatcher()
     {
         return m_dispatcher;
@@ -102,6 +99,13 @@
 private:
     friend struct FleetMessageHandler;
 
+    /** Loads under way in all hosts. */
+    struct FleetLoads
+    {
+        int64_t adapters = 0; ///< From the weight store.
+        int64_t models = 0;
+    };
+
     void onConfiguration(const std::vector<StoredRecord> &records);
     void onBackends(const std::vector<StoredRecord> &records);
     void onVersions(const std::vector<StoredRecord> &records);
@@ -115,6 +119,9 @@
     void sendAsks();
     void sendUses();
     void stepOrders();
+    void stepReplica(const ReplicaId &replica);
+    FleetLoads fleetLoads() const;
+    int64_t slowLoads() const;
     void tellNews();
     void writeOwnRecord();
     void assignOwners();
@@ -150,7 +157,7 @@
     Millis m_ownersProvenAt {-1};
     Millis m_startedAt;
     Millis m_beatAt {0};
-    Millis m_askAt {0};
+    std::map<std::pair<ReplicaId, std::string>, Millis> m_askedAt; ///< Adapters asked for lately.
     Millis m_useAt {0};
     Millis m_recordAt {0};
     Millis m_assignAt {0};
