--- a/serving/requestlog.cpp
+++ b/serving/requestlog.cpp
@@ -1,6 +1,5 @@
 #include "serving/requestlog.h"
 
-#include "core/clock.h"
 #include "core/eventlog.h"
 #include "serving/flow.h"
 
@@ -11,7 +10,7 @@
 {
 
 constexpr Millis second(1000);
-constexpr int64_t linesPerSecond = 60; // about what ten thousand requests a minute fail at in a bad minute
+constexpr int64_t linesPerSecond = 25; // of each event; a few hundred lines a second at most, however many requests fail
 constexpr uint64_t servedSample = 100; // one line for so many answers in time
 
 std::string describe(const Flow &flow, Millis now)
@@ -24,32 +23,42 @@
 
 }
 
-RequestLog::RequestLog(const Clock &clock, EventLog &log) : m_clock(clock), m_log(log)
+RequestLog::RequestLog(EventLog &log) : m_log(log)
 {
 }
 
-bool RequestLog::mayWrite(Millis now)
+bool RequestLog::mayWrite(EventCode code, RefusalCode refusal, Millis now)
 {
     if (now - m_secondStart >= second) {
-        if (m_dropped > 0) {
-            m_log.record(EventCode::LinesDropped, "requests", std::to_string(m_dropped) + " lines");
-        }
+        tellDropped();
         m_secondStart = now;
-        m_lines = 0;
-        m_dropped = 0;
+        m_budgets.clear();
     }
-    if (m_lines >= linesPerSecond) {
-        ++m_dropped;
+    Budget &budget = m_budgets[{code, refusal}];
+    if (budget.lines >= linesPerSecond) {
+        ++budget.dropped;
         return false;
     }
-    ++m_lines;
+    ++budget.lines;
     return true;
 }
 
+void RequestLog::tellDropped()
+{
+    for (const auto &[subject, budget] : m_budgets) {
+        if (budget.dropped > 0) {
+            const std::string refusal
+                = subject.first == EventCode::RequestRefused ? " " + std::string(refusalName(subject.second)) : "";
+            m_log.record(EventCode::LinesDropped, std::string(eventEntry(subject.first).name) + refusal,
+                         std::to_string(budget.dropped) + " lines");
+        }
+    }
+}
+
 void RequestLog::onServed(const Flow &flow, Millis now)
 {
     const bool isLate = flow.answeredAt > flow.objectiveAt;
-    if ((isLate || m_served++ % servedSample == 0) && mayWrite(now)) {
+    if ((isLate || m_served++ % servedSample == 0) && mayWrite(EventCode::RequestServed, {}, now)) {
         m_log.record(EventCode::RequestServed, flow.request.id.text(),
                      describe(flow, now) + " waited_ms=" + std::to_string((flow.sentAt - flow.request.receivedAt).value)
                          + " answer_after_ms=" + std::to_string((flow.answeredAt - flow.request.receivedAt).value)
@@ -59,7 +68,7 @@
 
 void RequestLog::onRefused(const ClientRequest &request, const Refusal &refusal, Millis now)
 {
-    if (mayWrite(now)) {
+    if (mayWrite(EventCode::RequestRefused, refusal.code, now)) {
         m_log.record(EventCode::RequestRefused, request.id.text(),
                      "code=" + std::string(refusalName(refusal.code)) + " run=" + std::string(runStateName(refusal.runState))
                          + " retry_after_ms=" + std::to_string(refusal.retryAfter.value) + " weights=" + request.weights
@@ -69,21 +78,21 @@
 
 void RequestLog::onFailed(const Flow &flow, const std::string &why, Millis now)
 {
-    if (mayWrite(now)) {
+    if (mayWrite(EventCode::RequestFailed, {}, now)) {
         m_log.record(EventCode::RequestFailed, flow.request.id.text(), describe(flow, now) + " why=" + why);
     }
 }
 
 void RequestLog::onRetried(const Flow &flow, const std::string &why, Millis now)
 {
-    if (mayWrite(now)) {
+    if (mayWrite(EventCode::RequestRetried, {}, now)) {
         m_log.record(EventCode::RequestRetried, flow.request.id.text(), describe(flow, now) + " why=" + why);
     }
 }
 
 void RequestLog::onCallerLeft(const Flow &flow, Millis now)
 {
-    if (mayWrite(now)) {
+    if (mayWrite(EventCode::CallerLeft, {}, now)) {
         m_log.record(EventCode::CallerLeft, flow.request.id.text(), describe(flow, now));
     }
 }
--- a/serving/requestlog.h
+++ b/serving/requestlog.h
@@ -1,17 +1,17 @@
 #pragma once
 
+#include "core/eventcode.h"
 #include "core/refusal.h"
 #include "core/units.h"
 
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 
 namespace vanillaspar
 {
-class Clock;
 class EventLog;
-class MetricSink;
 }
 
 namespace vanillaspar::serving
@@ -20,11 +20,11 @@
 struct Flow;
 struct ClientRequest;
 
-/** Tells the log and the metrics how requests fare, within a bound on lines a second. */
+/** Tells the log how requests fare, within a bound on lines a second for each event and kind of refusal. */
 class RequestLog
 {
 public:
-    RequestLog(const Clock &clock, EventLog &log);
+    explicit RequestLog(EventLog &log);
 
     void onServed(const Flow &flow, Millis now);
     void onRefused(const ClientRequest &request, const Refusal &refusal, Millis now);
@@ -34,13 +34,20 @@
     void onCallerLeft(const Flow &flow, Millis now);
 
 private:
-    bool mayWrite(Millis now);
+    using Subject = std::pair<EventCode, RefusalCode>;
+    /** Lines of one subject in the present second. */
+    struct Budget
+    {
+        int64_t lines = 0;
+        int64_t dropped = 0;
+    };
+
+    bool mayWrite(EventCode code, RefusalCode refusal, Millis now);
+    void tellDropped();
 
-    const Clock &m_clock;
     EventLog &m_log;
     Millis m_secondStart;
-    int64_t m_lines = 0;
-    int64_t m_dropped = 0;
+    std::map<Subject, Budget> m_budgets;
     uint64_t m_served = 0;
 };
 
--- a/serving/servingnode.cpp
+++ b/serving/servingnode.cpp
@@ -117,7 +117,7 @@
                 [this](const ReplicaId &replica) {
                     return canOrder(replica);
                 })
-    , m_requestLog(m_ports.clock, m_ports.log)
+    , m_requestLog(m_ports.log)
     , m_dispatcher({m_ports.clock, m_ports.callers, m_ports.attempts, m_admission, m_backends, m_residency, m_versions,
                     m_chooser, m_requestLog, m_settings.domain})
     , m_configuration(m_ports.store, Collection::Configuration, {otherConfigWait, configGap}, m_ports.clock, m_random,
