--- a/core/quantity.h
+++ b/core/quantity.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <compare>
+#include <concepts>
 #include <cstdint>
 
 namespace vanillaspar
@@ -30,9 +31,15 @@
     {
         return Quantity(value - other.value);
     }
-    constexpr Quantity operator*(int64_t factor) const
+    template<std::integral Factor>
+    constexpr Quantity operator*(Factor factor) const
     {
-        return Quantity(value * factor);
+        return Quantity(value * static_cast<int64_t>(factor));
+    }
+    /** @return the part of the quantity, rounded down. */
+    constexpr Quantity operator*(double factor) const
+    {
+        return Quantity(static_cast<int64_t>(static_cast<double>(value) * factor));
     }
     constexpr Quantity operator/(int64_t divisor) const
     {
--- a/policy/waitestimate.cpp
+++ b/policy/waitestimate.cpp
@@ -1,6 +1,5 @@
 #include "policy/waitestimate.h"
 
-#include <algorithm>
 #include <cmath>
 
 namespace vanillaspar
@@ -11,32 +10,37 @@
 
 // Time over which the rate is averaged: several loads from the weight store, yet short against callers' deadlines.
 constexpr double averagingMillis = 1000;
-// A queue that has not moved yet may move at this rate; it lets the first requests of a quiet host in.
-constexpr double leastPerSecond = 8;
-constexpr double millisPerSecond = 1000;
+// What is assumed before anything was measured, and how long a measurement outweighs it: 30 requests a second is what
+// one of six hosts sends on after loads on the users' sites.
+constexpr double assumedPerMilli = 0.03;
+constexpr double assumedMillis = 200;
 
 }
 
-void WaitEstimate::decay(Millis now)
+void WaitEstimate::observe(int64_t waiting, Millis now)
 {
-    const auto elapsed = static_cast<double>((now - m_decayedAt).value);
-    m_decayedAt = now;
+    const auto elapsed = static_cast<double>((now - m_observedAt).value);
+    m_observedAt = now;
     if (elapsed > 0) {
-        m_sent *= std::exp(-elapsed / averagingMillis);
+        const double kept = std::exp(-elapsed / averagingMillis);
+        m_sent *= kept;
+        m_busy *= kept;
+        if (m_waiting > 0) {
+            m_busy += averagingMillis * (1 - kept);
+        }
     }
+    m_waiting = waiting;
 }
 
-void WaitEstimate::onSent(Millis now)
+void WaitEstimate::onSent()
 {
-    decay(now);
     m_sent += 1;
 }
 
-Millis WaitEstimate::forQueue(int64_t ahead, Millis now)
+Millis WaitEstimate::forQueue(int64_t ahead) const
 {
-    decay(now);
-    const double perSecond = std::max(m_sent * millisPerSecond / averagingMillis, leastPerSecond);
-    return Millis(static_cast<int64_t>(static_cast<double>(ahead) / perSecond * millisPerSecond));
+    const double perMilli = (m_sent + assumedPerMilli * assumedMillis) / (m_busy + assumedMillis);
+    return Millis(static_cast<int64_t>(static_cast<double>(ahead) / perMilli));
 }
 
 }
--- a/serving/dispatcher.cpp
+++ b/serving/dispatcher.cpp
@@ -20,9 +20,11 @@
 {
 
 constexpr Millis defaultPatience(10000); // of a caller that names no deadline
-// A request that still waits after so many objectives is refused, and so is one that is expected to wait for longer: it
-// would be late by then, and its caller may still come back in time for a late answer.
-constexpr int64_t lateObjectives = 1;
+// A request that would wait for longer than this part of its objective is refused at once: what is left is needed to read
+// its prompt. One that waits for longer than expected is given up after the other part: its caller may still come back in
+// time for a late answer.
+constexpr double waitingPart = 0.75;
+constexpr double givingUpPart = 1.5;
 constexpr Millis shortestWait(200); // for routes whose objective is shorter than a replica's hiccup
 constexpr int mostSends = 4; // of one request; each is cheap to refuse, but counts against the retry budget
 constexpr Millis repeatPause(25); // before a request goes to a replica that has just refused it
@@ -103,7 +105,7 @@
     flow.objectiveAt = flow.request.receivedAt + admitted.route->objective;
     flow.endAt = flow.request.receivedAt + allowed;
     flow.objective = std::max(admitted.route->objective, shortestWait);
-    flow.giveUpAt = std::min(flow.request.receivedAt + flow.objective * (1 + lateObjectives), flow.endAt);
+    flow.giveUpAt = std::min(flow.request.receivedAt + flow.objective * givingUpPart, flow.endAt);
     const uint64_t exchange = flow.request.exchange;
     m_flows.emplace(exchange, std::move(owned));
     budgetOf(flow.pool).onRequest(now);
@@ -117,7 +119,7 @@
     }
     const Millis now = m_context.clock.now();
     const Millis wait = expectedWait(flow);
-    if (now + wait > flow.objectiveAt + flow.objective * lateObjectives) {
+    if (now + wait > flow.request.receivedAt + flow.objective * waitingPart) {
         refuse(flow, {RefusalCode::Overloaded, RunState::NotRun, std::max(wait, overloadRetry),
                       "expected wait " + std::to_string(wait.value) + " ms"});
         return;
@@ -134,7 +136,9 @@
         }
         ahead += m_flows.at(exchange)->pool == flow.pool ? 1 : 0;
     }
-    return m_waitEstimates[flow.pool].forQueue(ahead, m_context.clock.now());
+    WaitEstimate &estimate = m_waitEstimates[flow.pool];
+    estimate.observe(ahead, m_context.clock.now());
+    return estimate.forQueue(ahead);
 }
 
 Dispatcher::Placement Dispatcher::place(Flow &flow)
@@ -238,6 +242,13 @@
 
 void Dispatcher::sendWaiting()
 {
+    std::map<PoolId, int64_t> waiting;
+    for (const auto &[key, exchange] : m_waiting) {
+        ++waiting[m_flows.at(exchange)->pool];
+    }
+    for (auto &[pool, estimate] : m_waitEstimates) {
+        estimate.observe(waiting[pool], m_context.clock.now());
+    }
     std::vector<uint64_t> exchanges;
     exchanges.reserve(m_waiting.size());
     for (const auto &[key, exchange] : m_waiting) {
@@ -256,7 +267,7 @@
             m_waiting.erase(key);
         }
         if (placement == Placement::Sent) {
-            m_waitEstimates[pool].onSent(m_context.clock.now());
+            m_waitEstimates[pool].onSent();
         }
     }
 }
