--- a/cluster/messages/fleet.h
+++ b/cluster/messages/fleet.h
@@ -73,8 +73,8 @@
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(incarnation, sequence, echoed, isReady, isStopping, reachesStore, slowLoads, modelLoads, backendsRevision, configuration,
-                owners, uses, teams);
+        archive(incarnation, sequence, echoed, isReady, isStopping, reachesStore, slowLoads, modelLoads,
+                backendsRevision, configuration, owners, uses, teams);
     }
 };
 
@@ -128,12 +128,11 @@
 {
     std::string weights;
     uint16_t running = 0;
-    uint16_t started = 0; ///< Since the last report.
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(weights, running, started);
+        archive(weights, running);
     }
 };
 
--- a/main/entrysettings.cpp
+++ b/main/entrysettings.cpp
@@ -15,8 +15,8 @@
 
 constexpr size_t shortestSecret = 16; // characters
 
-const FieldTable<ServingSettings, HostId ServingSettings::*, DomainId ServingSettings::*, std::string ServingSettings::*,
-                 Millis ServingSettings::*>
+const FieldTable<ServingSettings, HostId ServingSettings::*, DomainId ServingSettings::*,
+                 std::string ServingSettings::*, Millis ServingSettings::*>
     servingFields({
         {"host", &ServingSettings::host, true},
         {"domain", &ServingSettings::domain, true},
--- a/main/vanillasparentry.cpp
+++ b/main/vanillasparentry.cpp
@@ -59,8 +59,7 @@
     });
     std::unique_ptr<serving::ServingNode> node;
     FleetTransport peers(loop, settings.serving.host, Endpoint::parse(settings.serving.peerAddress),
-                         MessageCodec(settings.clusterSecret), log,
-                         [&](const HostId &from, const Message &message) {
+                         MessageCodec(settings.clusterSecret), log, [&](const HostId &from, const Message &message) {
                              node->onPeerMessage(from, message);
                          });
     node = std::make_unique<serving::ServingNode>(
--- a/net/httphead.cpp
+++ b/net/httphead.cpp
@@ -27,9 +27,9 @@
 bool isConnectionHeader(std::string_view name)
 {
     // RFC 9110, section 7.6.1, with the older Keep-Alive and Proxy-Connection.
-    static constexpr std::array<std::string_view, 9> names {
-        "connection", "keep-alive", "proxy-connection",    "te",  "trailer", "transfer-encoding",
-        "upgrade",    "expect",     "proxy-authentication"};
+    static constexpr std::array<std::string_view, 9> names {"connection", "keep-alive", "proxy-connection",
+                                                            "te",         "trailer",    "transfer-encoding",
+                                                            "upgrade",    "expect",     "proxy-authentication"};
     return std::any_of(names.begin(), names.end(), [&](std::string_view candidate) {
         return isSameHeader(candidate, name);
     });
--- a/net/httpingress.cpp
+++ b/net/httpingress.cpp
@@ -75,35 +75,36 @@
     Connection *connection = owned.get();
     connection->id = id;
     connection->since = m_clock.now();
+    HttpReader::Handlers reading;
+    reading.onHead = [this, connection](HttpHead &head) {
+        onHead(*connection, head);
+    };
+    reading.onBody = [this, connection](std::string_view data) {
+        connection->request.body.append(data);
+        connection->isTooLarge = connection->isTooLarge || connection->request.body.size() > m_limits.bodyBytes;
+    };
     connection->reader
-        = std::make_unique<HttpReader>(HttpReader::Kind::Requests, m_limits.headBytes,
-                                       HttpReader::Handlers {[this, connection](HttpHead &head) {
-                                                                 connection->isTooLarge
-                                                                     = head.length > m_limits.bodyBytes;
-                                                                 if (findHeader(head.headers, "expect") != nullptr
-                                                                     && !connection->isTooLarge) {
-                                                                     connection->socket->write(
-                                                                         "HTTP/1.1 100 Continue\r\n\r\n");
-                                                                 }
-                                                                 connection->request.head = std::move(head);
-                                                             },
-                                                             [this, connection](std::string_view data) {
-                                                                 connection->request.body.append(data);
-                                                                 connection->isTooLarge = connection->isTooLarge
-                                                                     || connection->request.body.size()
-                                                                         > m_limits.bodyBytes;
-                                                             }});
-    connection->socket = std::make_unique<StreamSocket>(m_loop, descriptor,
-                                                        StreamSocket::Handlers {{},
-                                                                                [this, connection](std::string_view data) {
-                                                                                    onData(*connection, data);
-                                                                                },
-                                                                                [this, id](SocketEnd) {
-                                                                                    drop(id);
-                                                                                }});
+        = std::make_unique<HttpReader>(HttpReader::Kind::Requests, m_limits.headBytes, std::move(reading));
+    StreamSocket::Handlers events;
+    events.onData = [this, connection](std::string_view data) {
+        onData(*connection, data);
+    };
+    events.onEnd = [this, id](SocketEnd) {
+        drop(id);
+    };
+    connection->socket = std::make_unique<StreamSocket>(m_loop, descriptor, std::move(events));
     m_connections.emplace(id, std::move(owned));
 }
 
+void HttpIngress::onHead(Connection &connection, HttpHead &head) const
+{
+    connection.isTooLarge = head.length > m_limits.bodyBytes;
+    if (!connection.isTooLarge && findHeader(head.headers, "expect") != nullptr) {
+        connection.socket->write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    connection.request.head = std::move(head);
+}
+
 void HttpIngress::onData(Connection &connection, std::string_view data)
 {
     switch (connection.stage) {
@@ -186,8 +187,7 @@
     connection.isChunked = !hasLength;
     connection.stage = Connection::Stage::Answering;
     connection.since = m_clock.now();
-    std::string head = "HTTP/1.1 " + std::to_string(status) + " "
-        + reasonPhrase(status) + "\r\n";
+    std::string head = "HTTP/1.1 " + std::to_string(status) + " " + reasonPhrase(status) + "\r\n";
     for (const HttpHeader &header : headers) {
         if (isConnectionHeader(header.name) || isSameHeader(header.name, "content-length")) {
             continue;
--- a/net/httpingress.h
+++ b/net/httpingress.h
@@ -86,6 +86,7 @@
     struct Connection;
 
     void accept(int descriptor);
+    void onHead(Connection &connection, HttpHead &head) const;
     void onData(Connection &connection, std::string_view data);
     void readNext(Connection &connection);
     void fail(Connection &connection, int status);
--- a/net/httpupstream.cpp
+++ b/net/httpupstream.cpp
@@ -58,8 +58,39 @@
     bool isFresh = true; ///< Whether no exchange was completed on it yet.
     bool isForeign = false; ///< Whether the response being read belongs to an earlier request.
     bool isUnusable = false; ///< Whether it must be closed after this exchange.
+
+    void onHead(HttpHead &head);
+    void onBody(std::string_view data) const;
 };
 
+void HttpUpstream::Connection::onHead(HttpHead &head)
+{
+    const std::string *echo = request.echoHeader.empty() ? nullptr : findHeader(head.headers, request.echoHeader);
+    const bool isInterim = head.status < firstFinalStatus;
+    isForeign = isInterim || (echo != nullptr && *echo != request.echoValue);
+    if (isForeign) {
+        isUnusable = isUnusable || !isInterim;
+        return;
+    }
+    isUnusable = isUnusable || !head.isKeepAlive;
+    keepAlive = keepAliveOf(head);
+    if (request.method == "HEAD") {
+        reader->expectNoBody();
+    }
+    if (handlers.onHead) {
+        const auto handler = handlers.onHead; // it may cancel the exchange
+        handler(head);
+    }
+}
+
+void HttpUpstream::Connection::onBody(std::string_view data) const
+{
+    if (!isForeign && handlers.onBody) {
+        const auto handler = handlers.onBody;
+        handler(data);
+    }
+}
+
 HttpUpstream::HttpUpstream(Loop &loop, const Clock &clock) : m_loop(loop), m_clock(clock)
 {
     loop.every(sweepInterval, [this] {
@@ -116,46 +147,22 @@
     Connection *connection = owned.get();
     connection->id = id;
     connection->pool = pool;
-    connection->reader
-        = std::make_unique<HttpReader>(HttpReader::Kind::Responses, maxHeadBytes,
-                                       HttpReader::Handlers {[this, connection](HttpHead &head) {
-                                                                 const std::string *echo = connection->request.echoHeader.empty()
-                                                                     ? nullptr
-                                                                     : findHeader(head.headers, connection->request.echoHeader);
-                                                                 connection->isForeign = head.status < firstFinalStatus
-                                                                     || (echo != nullptr
-                                                                         && *echo != connection->request.echoValue);
-                                                                 if (connection->isForeign) {
-                                                                     connection->isUnusable = connection->isUnusable
-                                                                         || head.status >= firstFinalStatus;
-                                                                     return;
-                                                                 }
-                                                                 connection->isUnusable
-                                                                     = connection->isUnusable || !head.isKeepAlive;
-                                                                 connection->keepAlive = keepAliveOf(head);
-                                                                 if (connection->request.method == "HEAD") {
-                                                                     connection->reader->expectNoBody();
-                                                                 }
-                                                                 if (connection->handlers.onHead) {
-                                                                     const auto handler = connection->handlers.onHead;
-                                                                     handler(head);
-                                                                 }
-                                                             },
-                                                             [connection](std::string_view data) {
-                                                                 if (!connection->isForeign && connection->handlers.onBody) {
-                                                                     const auto handler = connection->handlers.onBody;
-                                                                     handler(data);
-                                                                 }
-                                                             }});
-    connection->socket = std::make_unique<StreamSocket>(m_loop, request.endpoint,
-                                                        StreamSocket::Handlers {{},
-                                                                                [this, connection](std::string_view data) {
-                                                                                    onData(*connection, data);
-                                                                                },
-                                                                                [this, id](SocketEnd how) {
-                                                                                    onSocketEnd(id, how != SocketEnd::Closed,
-                                                                                                how == SocketEnd::Refused);
-                                                                                }});
+    HttpReader::Handlers reading;
+    reading.onHead = [connection](HttpHead &head) {
+        connection->onHead(head);
+    };
+    reading.onBody = [connection](std::string_view data) {
+        connection->onBody(data);
+    };
+    connection->reader = std::make_unique<HttpReader>(HttpReader::Kind::Responses, maxHeadBytes, std::move(reading));
+    StreamSocket::Handlers events;
+    events.onData = [this, connection](std::string_view data) {
+        onData(*connection, data);
+    };
+    events.onEnd = [this, id](SocketEnd how) {
+        onSocketEnd(id, how);
+    };
+    connection->socket = std::make_unique<StreamSocket>(m_loop, request.endpoint, std::move(events));
     m_connections.emplace(id, std::move(owned));
     ++m_opened;
     start(*connection, std::move(request), std::move(handlers), exchange);
@@ -196,7 +203,7 @@
 {
     if (connection.exchange == 0) {
         // Bytes on an idle connection belong to no request.
-        onSocketEnd(connection.id, true, false);
+        onSocketEnd(connection.id, SocketEnd::Reset);
         return;
     }
     const uint64_t id = connection.id;
@@ -232,7 +239,7 @@
     end(connection, UpstreamEnd::Complete, isReusable);
 }
 
-void HttpUpstream::onSocketEnd(uint64_t id, bool isReset, bool isRefused)
+void HttpUpstream::onSocketEnd(uint64_t id, SocketEnd how)
 {
     const auto entry = m_connections.find(id);
     if (entry == m_connections.end()) {
@@ -245,12 +252,12 @@
         m_connections.erase(entry);
         return;
     }
-    const bool isUnsent = isRefused || connection.socket->bytesSent() == connection.sentBefore;
+    const bool isUnsent = how == SocketEnd::Refused || connection.socket->bytesSent() == connection.sentBefore;
     if (isUnsent) {
         end(connection, UpstreamEnd::NotSent, false);
         return;
     }
-    if (!isReset && !connection.isForeign && connection.reader->hasHead()
+    if (how == SocketEnd::Closed && !connection.isForeign && connection.reader->hasHead()
         && connection.reader->finish() == HttpReader::State::Complete) {
         end(connection, UpstreamEnd::Complete, false);
         return;
--- a/net/httpupstream.h
+++ b/net/httpupstream.h
@@ -17,6 +17,7 @@
 
 class Clock;
 class Loop;
+enum class SocketEnd;
 
 /** How an exchange with a server ended. */
 enum class UpstreamEnd
@@ -82,7 +83,7 @@
     void start(Connection &connection, UpstreamRequest &&request, UpstreamHandlers &&handlers, uint64_t exchange);
     void onData(Connection &connection, std::string_view data);
     void completeMessage(Connection &connection);
-    void onSocketEnd(uint64_t id, bool isReset, bool isRefused);
+    void onSocketEnd(uint64_t id, SocketEnd how);
     void end(Connection &connection, UpstreamEnd how, bool isReusable);
     void sweep();
 
--- a/policy/waitestimate.h
+++ b/policy/waitestimate.h
@@ -12,8 +12,8 @@
  *
  * Answers the load of a shortage (engines that come empty, a weight store that is slow, demand that moves to other
  * adapters): a queue that is longer than what can be served in time makes every request in it late. Whoever would be
- * late is better told so at once and comes back later. The rate is measured only while somebody waits, and an idle queue
- * forgets it, so that the first requests after a calm are let in.
+ * late is better told so at once and comes back later. The rate is measured only while somebody waits, and an idle
+ * queue forgets it, so that the first requests after a calm are let in.
  */
 class WaitEstimate
 {
--- a/serving/admission.cpp
+++ b/serving/admission.cpp
@@ -65,8 +65,8 @@
     if (!request.key.empty() && key != m_config->teamByKey.end()) {
         admitted.team = &m_config->teams[key->second];
     }
-    admitted.priority = admitted.team != nullptr && admitted.team->priority ? *admitted.team->priority
-                                                                             : admitted.route->priority;
+    admitted.priority
+        = admitted.team != nullptr && admitted.team->priority ? *admitted.team->priority : admitted.route->priority;
     admitted.pool = choosePool(*admitted.route);
     if (admitted.pool == nullptr) {
         return Refusal {RefusalCode::NoReplica, RunState::NotRun, confirmRetry, "the route names no known pool"};
--- a/serving/attemptport.h
+++ b/serving/attemptport.h
@@ -38,8 +38,7 @@
 public:
     virtual ~AttemptPort() = default;
 
-    virtual void send(uint64_t attempt, const Backend &backend, const ClientRequest &request,
-                      const AttemptTerms &terms)
+    virtual void send(uint64_t attempt, const Backend &backend, const ClientRequest &request, const AttemptTerms &terms)
         = 0;
     /** Closes the attempt's connection, which makes the replica stop; nothing more is heard of it. */
     virtual void cancel(uint64_t attempt) = 0;
--- a/serving/dispatcher.cpp
+++ b/serving/dispatcher.cpp
@@ -20,9 +20,9 @@
 {
 
 constexpr Millis defaultPatience(10000); // of a caller that names no deadline
-// A request that would wait for longer than this part of its objective is refused at once: what is left is needed to read
-// its prompt. One that waits for longer than expected is given up after the other part: its caller may still come back in
-// time for a late answer.
+// A request that would wait for longer than this part of its objective is refused at once: what is left is needed to
+// read its prompt. One that waits for longer than expected is given up after the other part: its caller may still come
+// back in time for a late answer.
 constexpr double waitingPart = 0.75;
 constexpr double givingUpPart = 1.5;
 constexpr Millis shortestWait(200); // for routes whose objective is shorter than a replica's hiccup
@@ -31,18 +31,14 @@
 constexpr Millis overloadRetry(300); // about the time a batch needs to end a few of its requests
 constexpr Millis noReplicaRetry(1000);
 constexpr Millis stoppingRetry(50); // callers choose another host at once
-// A plain service queues a few requests itself; beyond that they wait here, where they can still go elsewhere.
-constexpr double serviceQueue = 2.0; // requests for each slot
-constexpr double farPenalty = 0.1;
-constexpr double failurePenalty = 2.0;
-constexpr double avoidPenalty = 100.0;
 constexpr int firstServerError = 500;
 constexpr int firstRedirect = 300;
 constexpr int firstSuccess = 200;
 
 }
 
-Dispatcher::Dispatcher(DispatchContext context) : m_context(std::move(context))
+Dispatcher::Dispatcher(DispatchContext context)
+    : m_context(std::move(context)), m_services(m_context.backends, m_context.domain)
 {
 }
 
@@ -120,8 +116,9 @@
     const Millis now = m_context.clock.now();
     const Millis wait = expectedWait(flow);
     if (now + wait > flow.request.receivedAt + flow.objective * waitingPart) {
-        refuse(flow, {RefusalCode::Overloaded, RunState::NotRun, std::max(wait, overloadRetry),
-                      "expected wait " + std::to_string(wait.value) + " ms"});
+        refuse(flow,
+               {RefusalCode::Overloaded, RunState::NotRun, std::max(wait, overloadRetry),
+                "expected wait " + std::to_string(wait.value) + " ms"});
         return;
     }
     queue(flow);
@@ -180,31 +177,12 @@
 
 Dispatcher::Placement Dispatcher::placeOnService(Flow &flow)
 {
-    const Millis now = m_context.clock.now();
-    BackendState *best = nullptr;
-    double bestValue = 0;
-    bool isAnyThere = false;
-    for (BackendState *state : m_context.backends.usable(flow.pool)) {
-        if (flow.ranOn.count(state->info.id) > 0) {
-            continue;
-        }
-        isAnyThere = true;
-        const double load = EngineChooser::loadOf(*state, nullptr);
-        if (load >= 1 + serviceQueue || flow.avoided.count(state->info.id) > 0) {
-            continue;
-        }
-        const double value = load + state->failureRate * failurePenalty
-            + (state->info.domain == m_context.domain ? 0 : farPenalty) + (now < state->avoidUntil ? avoidPenalty : 0);
-        if (best == nullptr || value < bestValue) {
-            best = state;
-            bestValue = value;
-        }
-    }
-    if (best != nullptr) {
-        send(flow, *best);
+    const ServiceChoice choice = m_services.choose(flow, m_context.clock.now());
+    if (choice.backend != nullptr) {
+        send(flow, *choice.backend);
         return Placement::Sent;
     }
-    if (!isAnyThere) {
+    if (!choice.isPossible) {
         refuse(flow, {RefusalCode::NoReplica, RunState::NotRun, noReplicaRetry, "no replica of the pool takes work"});
         return Placement::Ended;
     }
@@ -436,8 +414,9 @@
     const bool hasBudget = !countsAsRepeat || budgetOf(flow.pool).takeRepeat(now);
     if (!hasBudget || flow.sendCount >= mostSends || now >= flow.endAt) {
         const RunState state = flow.mayHaveRun ? RunState::Unknown : RunState::NotRun;
-        refuse(flow, {flow.mayHaveRun ? RefusalCode::OutcomeUnknown : code, state,
-                      flow.mayHaveRun ? Millis(0) : overloadRetry, why + (hasBudget ? "" : "; no retry budget left")});
+        refuse(flow,
+               {flow.mayHaveRun ? RefusalCode::OutcomeUnknown : code, state,
+                flow.mayHaveRun ? Millis(0) : overloadRetry, why + (hasBudget ? "" : "; no retry budget left")});
         return;
     }
     m_context.log.onRetried(flow, why, now);
--- a/serving/dispatcher.h
+++ b/serving/dispatcher.h
@@ -8,6 +8,7 @@
 #include "policy/waitestimate.h"
 #include "serving/attemptport.h"
 #include "serving/flow.h"
+#include "serving/servicechooser.h"
 
 #include <cstdint>
 #include <map>
@@ -130,6 +131,7 @@
     RetryBudget &budgetOf(const PoolId &pool);
 
     DispatchContext m_context;
+    ServiceChooser m_services;
     std::map<uint64_t, std::unique_ptr<Flow>> m_flows; ///< By exchange.
     std::unordered_map<uint64_t, uint64_t> m_exchangeByAttempt;
     std::map<WaitingKey, uint64_t> m_waiting; ///< Exchanges; the next to be sent first.
--- /dev/null
+++ b/serving/loadcoordinator.cpp
@@ -0,0 +1,355 @@
+#include "serving/loadcoordinator.h"
+
+#include "cluster/message.h"
+#include "cluster/peerlink.h"
+#include "core/clock.h"
+#include "core/eventlog.h"
+#include "serving/admission.h"
+#include "serving/backendtable.h"
+#include "serving/dispatcher.h"
+#include "serving/fleetmembers.h"
+#include "serving/orderport.h"
+#include "serving/recordmirror.h"
+#include "serving/replicaorders.h"
+#include "serving/residencymap.h"
+#include "serving/servingsettings.h"
+#include "serving/statestore.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace vanillaspar::serving
+{
+
+namespace
+{
+
+constexpr const char *ownersRecord = "owners";
+constexpr Millis askRepeat(100); // an ask or its effect may be lost
+// Of the weight store's rate for base models: hosts that begin a load at the same moment must fit under it too.
+constexpr double modelLoadPart = 0.85;
+// Base models that the weight store gives out at full speed, by the users' sheets (2 and 3). More at once only make
+// each other late: two that take turns are both of use sooner than two that share.
+constexpr int64_t fullSpeedModelLoads = 2;
+// A host orders for so long on its last proof that it is a replica's owner; it covers the usual outages of the store.
+constexpr Millis orderHold(7000);
+constexpr Millis takeoverMargin(300);
+constexpr double millisPerSecond = 1000;
+
+}
+
+LoadCoordinator::LoadCoordinator(LoadContext context) : m_context(std::move(context))
+{
+}
+
+LoadCoordinator::~LoadCoordinator() = default;
+
+bool LoadCoordinator::isOwnersRecord(const std::string &name)
+{
+    return name == ownersRecord;
+}
+
+void LoadCoordinator::onRecord(const StoredRecord &record)
+{
+    if (record.isDeleted) {
+        return;
+    }
+    m_owners = OwnerTable::fromJson(record.content);
+    m_revision = record.revision;
+    for (const auto &[replica, entry] : m_owners.entries()) {
+        if (entry.host == m_context.settings.host) {
+            m_ownedSince.emplace(replica, m_context.clock.now());
+        } else {
+            m_ownedSince.erase(replica);
+            m_orders.erase(replica);
+        }
+    }
+}
+
+void LoadCoordinator::onPeerProof(int64_t revision, Millis provenAt)
+{
+    if (revision > m_revision && m_context.coordination.isLoaded()) {
+        m_context.coordination.refresh();
+    } else if (revision == m_revision) {
+        m_provenAt = std::max(m_provenAt, provenAt);
+    }
+}
+
+void LoadCoordinator::followProof()
+{
+    m_provenAt = std::max(m_provenAt, m_context.coordination.provenAt());
+    if (m_context.clock.now() - m_provenAt > orderHold / 2 && m_context.coordination.isLoaded()) {
+        m_context.coordination.refresh();
+    }
+}
+
+void LoadCoordinator::onNewLife(const ReplicaId &replica)
+{
+    if (ReplicaOrders *orders = ordersOf(replica)) {
+        orders->reset();
+    }
+}
+
+void LoadCoordinator::onUse(const HostId &from, const AdapterUseReport &report)
+{
+    if (ReplicaOrders *orders = ordersOf(report.replica)) {
+        orders->onUse(from, report, m_context.clock.now());
+    }
+}
+
+void LoadCoordinator::onAsk(const AdapterAsk &ask)
+{
+    if (ReplicaOrders *orders = ordersOf(ask.replica)) {
+        orders->onAsk(ask, m_context.clock.now());
+        stepReplica(ask.replica);
+    }
+}
+
+bool LoadCoordinator::mayOrder(const ReplicaId &replica) const
+{
+    const OwnerEntry *entry = m_owners.find(replica);
+    const Millis now = m_context.clock.now();
+    if (entry == nullptr || entry->host != m_context.settings.host || m_provenAt.value < 0
+        || now - m_provenAt > orderHold) {
+        return false;
+    }
+    // The owner before may have ordered until its last proof ran out, and that was older than this entry.
+    const auto since = m_ownedSince.find(replica);
+    return !entry->isTakeover
+        || (since != m_ownedSince.end()
+            && now - since->second > orderHold + m_context.settings.orderLease + takeoverMargin);
+}
+
+bool LoadCoordinator::canOrder(const ReplicaId &replica) const
+{
+    const OwnerEntry *entry = m_owners.find(replica);
+    if (entry == nullptr) {
+        return false;
+    }
+    return entry->host == m_context.settings.host ? mayOrder(replica)
+                                                  : m_context.members.isLive(entry->host, m_context.clock.now());
+}
+
+ReplicaOrders *LoadCoordinator::ordersOf(const ReplicaId &replica)
+{
+    const auto entry = m_orders.find(replica);
+    return entry == m_orders.end() ? nullptr : entry->second.get();
+}
+
+void LoadCoordinator::tick()
+{
+    followProof();
+    for (const auto &[replica, entry] : m_owners.entries()) {
+        if (entry.host == m_context.settings.host) {
+            stepReplica(replica);
+        }
+    }
+    tellNews();
+}
+
+ReplicaOrders &LoadCoordinator::openOrders(const ReplicaId &replica, const OwnerEntry &entry)
+{
+    std::unique_ptr<ReplicaOrders> &orders = m_orders[replica];
+    if (orders == nullptr) {
+        const auto firstSequence = static_cast<uint64_t>(m_context.clock.wallNow().value);
+        orders
+            = std::make_unique<ReplicaOrders>(replica, m_context.orders, m_context.log, firstSequence, [this, replica] {
+                  stepReplica(replica);
+              });
+        m_context.log.record(EventCode::ReplicaTakenOver, replica.text(), "fence " + std::to_string(entry.fence));
+    }
+    return *orders;
+}
+
+void LoadCoordinator::stepReplica(const ReplicaId &replica)
+{
+    const Millis now = m_context.clock.now();
+    const ServingConfig *config = m_context.admission.config();
+    const OwnerEntry *entry = m_owners.find(replica);
+    const BackendState *state = m_context.backends.find(replica);
+    if (config == nullptr || state == nullptr || !mayOrder(replica) || !state->isUsable() || now < state->avoidUntil) {
+        return;
+    }
+    const auto pool = config->pools.find(state->info.pool);
+    if (pool == config->pools.end() || !pool->second.engine) {
+        return;
+    }
+    const EngineSpec &engine = *pool->second.engine;
+    const FleetLoads loads = fleetLoads();
+    ReplicaOrders &orders = openOrders(replica, *entry);
+    orders.setFleetLoads(loads.adapters);
+    const OrderTerms terms {state->info,         engine,
+                            m_context.versions,  m_context.settings.host,
+                            Epoch(entry->fence), mayLoadModel(engine.loadsPerSecond, loads.models)};
+    if (orders.step(terms, now)) {
+        m_modelLoadAt = now;
+    }
+}
+
+bool LoadCoordinator::mayLoadModel(double loadsPerSecond, int64_t fleetModelLoads) const
+{
+    // Every host keeps to its even part of the weight store's rate.
+    const double rate = loadsPerSecond * modelLoadPart;
+    const auto hosts = static_cast<double>(m_context.members.peers().size() + 1);
+    const Millis spacing(rate > 0 ? static_cast<int64_t>(hosts * millisPerSecond / rate) : 0);
+    return fleetModelLoads < fullSpeedModelLoads && m_context.clock.now() - m_modelLoadAt >= spacing;
+}
+
+LoadCoordinator::FleetLoads LoadCoordinator::fleetLoads() const
+{
+    const Millis now = m_context.clock.now();
+    FleetLoads loads {slowLoads(), modelLoads()};
+    for (const auto &[host, member] : m_context.members.peers()) {
+        if (m_context.members.isLive(host, now)) {
+            loads.adapters += member.beat.slowLoads;
+            loads.models += member.beat.modelLoads;
+        }
+    }
+    return loads;
+}
+
+int64_t LoadCoordinator::slowLoads() const
+{
+    const Millis now = m_context.clock.now();
+    int64_t loads = 0;
+    for (const auto &[replica, orders] : m_orders) {
+        loads += orders->slowLoads(now);
+    }
+    return loads;
+}
+
+int64_t LoadCoordinator::modelLoads() const
+{
+    return std::count_if(m_orders.begin(), m_orders.end(), [](const auto &entry) {
+        return entry.second->isLoadingModel();
+    });
+}
+
+void LoadCoordinator::tellNews()
+{
+    const Millis now = m_context.clock.now();
+    for (const auto &[replica, orders] : m_orders) {
+        const BackendState *state = m_context.backends.find(replica);
+        if (state == nullptr || !state->isUsable()) {
+            continue;
+        }
+        const std::optional<ResidencyNews> news = orders->takeNews(state->info, now);
+        if (!news) {
+            continue;
+        }
+        m_context.residency.onNews(m_context.settings.host, *news, now);
+        for (const auto &[host, member] : m_context.members.peers()) {
+            m_context.peers.send(member.peerAddress, *news);
+        }
+    }
+}
+
+void LoadCoordinator::sendAsks(Dispatcher &dispatcher)
+{
+    const Millis now = m_context.clock.now();
+    for (auto entry = m_askedAt.begin(); entry != m_askedAt.end();) {
+        entry = now - entry->second > askRepeat ? m_askedAt.erase(entry) : std::next(entry);
+    }
+    for (const AdapterAsk &ask : dispatcher.takeAsks()) {
+        const OwnerEntry *entry = m_owners.find(ask.replica);
+        if (entry == nullptr || !m_askedAt.emplace(std::make_pair(ask.replica, ask.weights), now).second) {
+            continue;
+        }
+        if (entry->host == m_context.settings.host) {
+            onAsk(ask);
+        } else {
+            sendTo(entry->host, ask);
+        }
+    }
+}
+
+void LoadCoordinator::sendTo(const HostId &host, const Message &message)
+{
+    const auto member = m_context.members.peers().find(host);
+    if (member != m_context.members.peers().end()) {
+        m_context.peers.send(member->second.peerAddress, message);
+    }
+}
+
+void LoadCoordinator::sendUses(const Dispatcher &dispatcher)
+{
+    std::map<ReplicaId, AdapterUseReport> reports;
+    // A replica that was told of before and is used no more is told so once.
+    for (const ReplicaId &replica : m_usedReplicas) {
+        reports[replica].replica = replica;
+    }
+    m_usedReplicas.clear();
+    for (const auto &[replica, uses] : dispatcher.adapterUses()) {
+        m_usedReplicas.insert(replica);
+        AdapterUseReport &report = reports[replica];
+        report.replica = replica;
+        for (const auto &[weights, use] : uses) {
+            report.uses.push_back(use);
+        }
+    }
+    for (const auto &[replica, report] : reports) {
+        const OwnerEntry *entry = m_owners.find(replica);
+        if (entry != nullptr && entry->host == m_context.settings.host) {
+            onUse(entry->host, report);
+        } else if (entry != nullptr) {
+            sendTo(entry->host, report);
+        }
+    }
+}
+
+std::vector<Placeable> LoadCoordinator::replicasToOwn() const
+{
+    std::vector<Placeable> replicas;
+    for (const auto &[id, pool] : m_context.admission.config()->pools) {
+        if (pool.engine) {
+            for (const BackendState *state : m_context.backends.usable(id)) {
+                replicas.push_back({state->info.id.text(), state->info.domain});
+            }
+        }
+    }
+    return replicas;
+}
+
+std::vector<Placeable> LoadCoordinator::liveHosts() const
+{
+    const Millis now = m_context.clock.now();
+    std::vector<Placeable> live {{m_context.settings.host.text(), m_context.settings.domain}};
+    for (const auto &[host, member] : m_context.members.peers()) {
+        if (m_context.members.isLive(host, now) && !member.beat.isStopping) {
+            live.push_back({host.text(), member.domain});
+        }
+    }
+    return live;
+}
+
+std::vector<HostId> LoadCoordinator::lostOwners() const
+{
+    const Millis now = m_context.clock.now();
+    std::vector<HostId> lost;
+    for (const auto &[replica, entry] : m_owners.entries()) {
+        if (m_context.members.isLost(entry.host, now)) {
+            lost.push_back(entry.host);
+        }
+    }
+    return lost;
+}
+
+void LoadCoordinator::assignOwners()
+{
+    OwnerTable next = m_owners;
+    if (m_isAssigning || m_context.admission.config() == nullptr
+        || !next.assign(replicasToOwn(), liveHosts(), lostOwners())) {
+        return;
+    }
+    m_isAssigning = true;
+    const auto known = m_context.coordination.records().find(ownersRecord);
+    const int64_t revision = known == m_context.coordination.records().end() ? 0 : known->second.revision;
+    m_context.store.write(Collection::Coordination, ownersRecord, next.toJson(), revision, [this](StoreWrite write) {
+        m_isAssigning = false;
+        m_context.log.record(EventCode::OwnersAssigned, m_context.settings.host.text(),
+                             "result " + std::to_string(static_cast<int>(write.result)));
+        m_context.coordination.refresh();
+    });
+}
+
+}
--- /dev/null
+++ b/serving/loadcoordinator.h
@@ -0,0 +1,137 @@
+#pragma once
+
+#include "cluster/message.h"
+#include "core/ids.h"
+#include "core/units.h"
+#include "serving/ownertable.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace vanillaspar
+{
+class Clock;
+class EventLog;
+class PeerLink;
+}
+
+namespace vanillaspar::serving
+{
+
+class AdapterVersions;
+class Admission;
+class BackendTable;
+class Dispatcher;
+class FleetMembers;
+class OrderPort;
+class RecordMirror;
+class ReplicaOrders;
+class ResidencyMap;
+class StateStore;
+struct ServingSettings;
+struct StoredRecord;
+
+/** What the coordinator of loads works with. */
+struct LoadContext
+{
+    const ServingSettings &settings;
+    const Clock &clock;
+    StateStore &store;
+    PeerLink &peers;
+    OrderPort &orders;
+    EventLog &log;
+    const Admission &admission;
+    const FleetMembers &members;
+    BackendTable &backends;
+    ResidencyMap &residency;
+    const AdapterVersions &versions;
+    RecordMirror &coordination;
+};
+
+/**
+ * Decides which host orders which replica's loads, and orders those that are this host's.
+ *
+ * What requests need goes to the owner of the replica as asks; what a replica holds comes back from it as news. A host
+ * orders only while it can prove that its copy of the owner table is recent, and a new owner waits until the one before
+ * can no longer prove that, so that a replica never hears two hosts in turn.
+ */
+class LoadCoordinator
+{
+public:
+    explicit LoadCoordinator(LoadContext context);
+    ~LoadCoordinator();
+
+    static bool isOwnersRecord(const std::string &name);
+    /** Follows the owner table. @throws DecodeError if it can't be read. */
+    void onRecord(const StoredRecord &record);
+    /** Takes the time at which a peer's copy of the table was proven, if it equals this host's. */
+    void onPeerProof(int64_t revision, Millis provenAt);
+    /** A replica began another life. */
+    void onNewLife(const ReplicaId &replica);
+    void onAsk(const AdapterAsk &ask);
+    void onUse(const HostId &from, const AdapterUseReport &report);
+    /** Orders and tells what is due. */
+    void tick();
+
+    /** Sends the asks of this host's requests to the owners. */
+    void sendAsks(Dispatcher &dispatcher);
+    /** Tells the owners what this host's requests use. */
+    void sendUses(const Dispatcher &dispatcher);
+    /** Gives replicas without a live owner a new one; for the first host only. */
+    void assignOwners();
+
+    /** @return whether loads of the replica are ordered by a host that is there. */
+    bool canOrder(const ReplicaId &replica) const;
+    /** @return the revision of this host's copy of the table. */
+    int64_t revision() const
+    {
+        return m_revision;
+    }
+    Millis provenAt() const
+    {
+        return m_provenAt;
+    }
+    /** @return this host's loads of adapters that are on their way from the weight store. */
+    int64_t slowLoads() const;
+    /** @return this host's loads of base models that are under way. */
+    int64_t modelLoads() const;
+
+private:
+    /** Loads under way in all hosts. */
+    struct FleetLoads
+    {
+        int64_t adapters = 0; ///< From the weight store.
+        int64_t models = 0;
+    };
+
+    bool mayOrder(const ReplicaId &replica) const;
+    ReplicaOrders *ordersOf(const ReplicaId &replica);
+    ReplicaOrders &openOrders(const ReplicaId &replica, const OwnerEntry &entry);
+    void stepReplica(const ReplicaId &replica);
+    bool mayLoadModel(double loadsPerSecond, int64_t fleetModelLoads) const;
+    FleetLoads fleetLoads() const;
+    void followProof();
+    void tellNews();
+    void sendTo(const HostId &host, const Message &message);
+    std::vector<Placeable> replicasToOwn() const;
+    std::vector<Placeable> liveHosts() const;
+    std::vector<HostId> lostOwners() const;
+
+    LoadContext m_context;
+    OwnerTable m_owners;
+    int64_t m_revision = 0;
+    Millis m_provenAt {-1};
+    std::map<ReplicaId, std::unique_ptr<ReplicaOrders>> m_orders;
+    std::map<ReplicaId, Millis> m_ownedSince; ///< When this host first saw itself as a replica's owner.
+    std::map<std::pair<ReplicaId, std::string>, Millis> m_askedAt; ///< Adapters asked for lately.
+    std::set<ReplicaId> m_usedReplicas; ///< Those that owners were last told of.
+    Millis m_modelLoadAt {0};
+    bool m_isAssigning = false;
+};
+
+}
--- a/serving/ownertable.cpp
+++ b/serving/ownertable.cpp
@@ -15,9 +15,9 @@
         table.m_fence = content.at("fence").get<int64_t>();
         for (const auto &item : content.at("replicas").items()) {
             const nlohmann::json &value = item.value();
-            table.m_entries[ReplicaId(item.key())] = {HostId(value.at("host").get<std::string>()),
-                                                      value.at("fence").get<int64_t>(),
-                                                      value.at("takeover").get<bool>()};
+            table.m_entries[ReplicaId(item.key())]
+                = {HostId(value.at("host").get<std::string>()), value.at("fence").get<int64_t>(),
+                   value.at("takeover").get<bool>()};
         }
         return table;
     } catch (const nlohmann::json::exception &error) {
@@ -53,8 +53,7 @@
     std::vector<const Placeable *> homeless;
     for (const Placeable &replica : replicas) {
         const OwnerEntry *entry = find(ReplicaId(replica.id));
-        const bool isLost
-            = entry == nullptr || std::find(lost.begin(), lost.end(), entry->host) != lost.end();
+        const bool isLost = entry == nullptr || std::find(lost.begin(), lost.end(), entry->host) != lost.end();
         if (isLost) {
             homeless.push_back(&replica);
         } else if (counts.count(entry->host.text()) > 0) {
--- a/serving/recordmirror.cpp
+++ b/serving/recordmirror.cpp
@@ -202,7 +202,8 @@
     const int doublings = std::min(m_failures, mostDoublings);
     ++m_failures;
     const Millis pause = std::min(Millis(firstPause.value << doublings), longestPause);
-    m_nextAt = m_clock.now() + pause / 2 + Millis(static_cast<int64_t>(m_random.below(static_cast<uint64_t>(pause.value))));
+    m_nextAt
+        = m_clock.now() + pause / 2 + Millis(static_cast<int64_t>(m_random.below(static_cast<uint64_t>(pause.value))));
 }
 
 }
--- a/serving/replicaorders.cpp
+++ b/serving/replicaorders.cpp
@@ -23,7 +23,7 @@
 constexpr Millis unsentPause(150);
 // A want that its askers don't repeat is over; they repeat it every 100 ms.
 constexpr Millis wantLifetime(500);
-constexpr Millis useLifetime(1500);
+constexpr Millis useLifetime(700); // reports come five times a second; some are lost
 // An adapter stays for a moment after a load, so that those who waited for it get their turn.
 constexpr Millis shortestStay(150);
 constexpr Millis newsInterval(500);
@@ -40,11 +40,7 @@
 
 ReplicaOrders::ReplicaOrders(ReplicaId replica, OrderPort &port, EventLog &log, uint64_t firstSequence,
                              std::function<void()> onIdle)
-    : m_replica(std::move(replica))
-    , m_port(port)
-    , m_log(log)
-    , m_sequence(firstSequence)
-    , m_onIdle(std::move(onIdle))
+    : m_replica(std::move(replica)), m_port(port), m_log(log), m_sequence(firstSequence), m_onIdle(std::move(onIdle))
 {
 }
 
@@ -347,7 +343,8 @@
     std::map<std::string, Place> places;
     const auto take = [&](const HeldAdapter &adapter, Millis readyAt) {
         const auto known = m_places.find(adapter.weights);
-        places[adapter.weights] = {adapter.version, readyAt, known == m_places.end() ? now : known->second.usedAt, false, false};
+        places[adapter.weights]
+            = {adapter.version, readyAt, known == m_places.end() ? now : known->second.usedAt, false, false};
         remember(adapter.weights);
     };
     for (const HeldAdapter &adapter : holdings->adapters) {
--- a/serving/requestlog.cpp
+++ b/serving/requestlog.cpp
@@ -10,7 +10,8 @@
 {
 
 constexpr Millis second(1000);
-constexpr int64_t linesPerSecond = 25; // of each event; a few hundred lines a second at most, however many requests fail
+constexpr int64_t linesPerSecond
+    = 25; // of each event; a few hundred lines a second at most, however many requests fail
 constexpr uint64_t servedSample = 100; // one line for so many answers in time
 
 std::string describe(const Flow &flow, Millis now)
@@ -70,7 +71,8 @@
 {
     if (mayWrite(EventCode::RequestRefused, refusal.code, now)) {
         m_log.record(EventCode::RequestRefused, request.id.text(),
-                     "code=" + std::string(refusalName(refusal.code)) + " run=" + std::string(runStateName(refusal.runState))
+                     "code=" + std::string(refusalName(refusal.code))
+                         + " run=" + std::string(runStateName(refusal.runState))
                          + " retry_after_ms=" + std::to_string(refusal.retryAfter.value) + " weights=" + request.weights
                          + " age_ms=" + std::to_string((now - request.receivedAt).value) + " why=" + refusal.detail);
     }
--- a/serving/residencymap.cpp
+++ b/serving/residencymap.cpp
@@ -36,7 +36,7 @@
     for (const HeldModel &model : backend.holdings.models) {
         held[model.name] = {model.version, now};
     }
-    replace(backend.id, replica, std::move(held));
+    replace(backend.id, replica, held);
 }
 
 void ResidencyMap::onNews(const HostId &from, const ResidencyNews &news, Millis now)
@@ -61,10 +61,10 @@
         }
         held[adapter.weights] = place;
     }
-    replace(news.replica, replica, std::move(held));
+    replace(news.replica, replica, held);
 }
 
-void ResidencyMap::replace(const ReplicaId &id, Replica &replica, std::map<std::string, Residence> held)
+void ResidencyMap::replace(const ReplicaId &id, Replica &replica, const std::map<std::string, Residence> &held)
 {
     for (const std::string &weights : replica.weights) {
         if (held.count(weights) == 0) {
--- a/serving/residencymap.h
+++ b/serving/residencymap.h
@@ -59,7 +59,7 @@
         std::vector<std::string> weights;
     };
 
-    void replace(const ReplicaId &id, Replica &replica, std::map<std::string, Residence> held);
+    void replace(const ReplicaId &id, Replica &replica, const std::map<std::string, Residence> &held);
 
     std::map<ReplicaId, Replica> m_replicas;
     std::unordered_map<std::string, std::map<ReplicaId, Residence>> m_holders;
--- a/serving/servingnode.cpp
+++ b/serving/servingnode.cpp
@@ -5,8 +5,6 @@
 #include "core/error.h"
 #include "core/eventlog.h"
 #include "core/hash.h"
-#include "serving/orderport.h"
-#include "serving/replicaorders.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -17,17 +15,15 @@
 namespace
 {
 
-constexpr const char *ownersRecord = "owners";
-
 // How long the store holds a watch of the configuration. The first host asks most often, and its proof that the
 // configuration is the newest reaches the others with its beats; theirs show that they reach the store themselves.
 constexpr Millis firstConfigWait(1200);
 constexpr Millis otherConfigWait(2500);
 constexpr Millis longWait(10000);
 constexpr Millis configGap(20);
-// Replicas write often, mostly about adapters, which the hosts tell each other sooner. The first host follows closely and
-// names the changes that matter in its beats; the others ask then, and on their own within the time in which a leaving
-// replica may get work.
+// Replicas write often, mostly about adapters, which the hosts tell each other sooner. The first host follows closely
+// and names the changes that matter in its beats; the others ask then, and on their own within the time in which a
+// leaving replica may get work.
 constexpr Millis firstBackendGap(400);
 constexpr Millis otherBackendGap(1400);
 constexpr Millis versionGap(300);
@@ -40,20 +36,11 @@
 constexpr Millis storeSilence(3500);
 
 constexpr Millis beatInterval(100);
-constexpr Millis askRepeat(100); // an ask or its effect may be lost
 constexpr Millis useInterval(200);
-// Of the weight store's rate for base models: hosts that begin a load at the same moment must fit under it too.
-constexpr double modelLoadPart = 0.85;
-// Base models that the weight store gives out at full speed, by the users' sheets (2 and 3). More at once only make each
-// other late: two that take turns are both of use sooner than two that share.
-constexpr int64_t fullSpeedModelLoads = 2;
 constexpr Millis retryWrite(500);
 constexpr Millis assignInterval(500);
 // All hosts of a first start are there by then, so that replicas are shared out evenly at once.
 constexpr Millis firstAssignment(2000);
-// A host orders for so long on its last proof that it is a replica's owner; it covers the usual outages of the store.
-constexpr Millis orderHold(7000);
-constexpr Millis takeoverMargin(300);
 // Entries of replicas that lapsed during an outage are back within two seconds of its end.
 constexpr Millis lapseGrace(2200);
 
@@ -62,8 +49,6 @@
 constexpr Millis drainRefusing(2500); // before the end of the grace
 constexpr Millis drainEnd(400); // before the end of the grace
 
-constexpr double millisPerSecond = 1000;
-
 uint32_t shortHash(const std::string &text)
 {
     return static_cast<uint32_t>(stableHash(text));
@@ -92,13 +77,11 @@
     }
     void operator()(const AdapterAsk &ask) const
     {
-        node.onAsk(ask);
+        node.m_loads.onAsk(ask);
     }
     void operator()(const AdapterUseReport &report) const
     {
-        if (ReplicaOrders *orders = node.ordersOf(report.replica)) {
-            orders->onUse(from, report, node.m_ports.clock.now());
-        }
+        node.m_loads.onUse(from, report);
     }
     template<class Other>
     void operator()(const Other & /*message*/) const
@@ -115,7 +98,7 @@
     , m_members(m_settings, drawIncarnation(m_random))
     , m_chooser(m_backends, m_residency, m_versions, m_settings.domain,
                 [this](const ReplicaId &replica) {
-                    return canOrder(replica);
+                    return m_loads.canOrder(replica);
                 })
     , m_requestLog(m_ports.log)
     , m_dispatcher({m_ports.clock, m_ports.callers, m_ports.attempts, m_admission, m_backends, m_residency, m_versions,
@@ -125,7 +108,8 @@
                       [this](const std::vector<StoredRecord> &records) {
                           onConfiguration(records);
                       })
-    , m_backendRecords(m_ports.store, Collection::Backends, {longWait, firstBackendGap}, m_ports.clock, m_random, m_ports.log,
+    , m_backendRecords(m_ports.store, Collection::Backends, {longWait, firstBackendGap}, m_ports.clock, m_random,
+                       m_ports.log,
                        [this](const std::vector<StoredRecord> &records) {
                            onBackends(records);
                        })
@@ -139,11 +123,12 @@
                      [this](const std::vector<StoredRecord> &records) {
                          onCoordination(records);
                      })
+    , m_loads({m_settings, m_ports.clock, m_ports.store, m_ports.peers, m_ports.orders, m_ports.log, m_admission,
+               m_members, m_backends, m_residency, m_versions, m_coordination})
     , m_startedAt(m_ports.clock.now())
 {
     setSettings(m_settings);
-    m_ports.log.record(EventCode::NodeStarted, m_settings.host.text(),
-                       "incarnation " + m_members.incarnation().text());
+    m_ports.log.record(EventCode::NodeStarted, m_settings.host.text(), "incarnation " + m_members.incarnation().text());
 }
 
 ServingNode::~ServingNode() = default;
@@ -208,9 +193,7 @@
             m_residency.onDiscovered(backend, now);
             if (m_backends.upsert(std::move(backend))) {
                 m_ports.log.record(EventCode::ReplicaRestarted, id.text(), "a new life under the same id");
-                if (ReplicaOrders *orders = ordersOf(id)) {
-                    orders->reset();
-                }
+                m_loads.onNewLife(id);
             }
         } catch (const Error &error) {
             // The entry may come from another writer: it names no replica to use.
@@ -257,17 +240,8 @@
         try {
             if (FleetMembers::isHostRecord(record.name)) {
                 m_members.onRecord(record, now);
-            } else if (record.name == ownersRecord && !record.isDeleted) {
-                m_owners = OwnerTable::fromJson(record.content);
-                m_ownersRevision = record.revision;
-                for (const auto &[replica, entry] : m_owners.entries()) {
-                    if (entry.host == m_settings.host) {
-                        m_ownedSince.emplace(replica, now);
-                    } else {
-                        m_ownedSince.erase(replica);
-                        m_orders.erase(replica);
-                    }
-                }
+            } else if (LoadCoordinator::isOwnersRecord(record.name)) {
+                m_loads.onRecord(record);
             }
         } catch (const Error &error) {
             m_ports.log.record(EventCode::StoreRecordRejected, record.name, error.what());
@@ -303,18 +277,13 @@
     if (beat.backendsRevision > m_backendRecords.asOf() && m_backendRecords.isLoaded()) {
         m_backendRecords.refresh();
     }
-    if (beat.owners.revision > m_ownersRevision && m_coordination.isLoaded()) {
-        m_coordination.refresh();
-    } else if (beat.owners.revision == m_ownersRevision) {
-        m_ownersProvenAt = std::max(m_ownersProvenAt, m_members.proofTime(beat, beat.owners));
-    }
+    m_loads.onPeerProof(beat.owners.revision, m_members.proofTime(beat, beat.owners));
 }
 
 void ServingNode::followTrust()
 {
     const Millis now = m_ports.clock.now();
     m_configProvenAt = std::max(m_configProvenAt, m_configuration.provenAt());
-    m_ownersProvenAt = std::max(m_ownersProvenAt, m_coordination.provenAt());
     const Millis trustedUntil = m_configProvenAt + m_settings.revokeLimit - trustMargin;
     m_admission.setTrustedUntil(trustedUntil);
     const bool isTrusted = m_configProvenAt.value >= 0 && now < trustedUntil;
@@ -329,9 +298,6 @@
     if (now - m_configProvenAt > proofRefresh && m_configuration.isLoaded()) {
         m_configuration.refresh();
     }
-    if (now - m_ownersProvenAt > orderHold / 2 && m_coordination.isLoaded()) {
-        m_coordination.refresh();
-    }
 }
 
 void ServingNode::tick()
@@ -350,16 +316,17 @@
     }
     if (now - m_assignAt >= assignInterval) {
         m_assignAt = now;
-        assignOwners();
+        if (mayAssignOwners()) {
+            m_loads.assignOwners();
+        }
     }
     m_dispatcher.tick();
-    sendAsks();
+    m_loads.sendAsks(m_dispatcher);
     if (now - m_useAt >= useInterval) {
         m_useAt = now;
-        sendUses();
+        m_loads.sendUses(m_dispatcher);
     }
-    stepOrders();
-    tellNews();
+    m_loads.tick();
     if (m_drainStartedAt.value >= 0 && now - m_drainStartedAt > m_settings.shutdownGrace - drainRefusing) {
         m_dispatcher.stopAccepting();
     }
@@ -379,11 +346,11 @@
     beat.isReady = isReady();
     beat.isStopping = m_drainStartedAt.value >= 0;
     beat.reachesStore = m_configuration.isReachable() && now - m_configuration.provenAt() < storeSilence;
-    beat.slowLoads = static_cast<uint16_t>(slowLoads());
-    beat.modelLoads = static_cast<uint16_t>(modelLoads());
+    beat.slowLoads = static_cast<uint16_t>(m_loads.slowLoads());
+    beat.modelLoads = static_cast<uint16_t>(m_loads.modelLoads());
     beat.backendsRevision = m_backendsRevision;
     beat.configuration = proofOf(m_configRevision, m_configProvenAt);
-    beat.owners = proofOf(m_ownersRevision, m_ownersProvenAt);
+    beat.owners = proofOf(m_loads.revision(), m_loads.provenAt());
     beat.uses = m_backends.ownUse();
     for (const auto &[team, quota] : const_cast<Admission &>(m_admission).quotas()) {
         if (quota.isLimited()) {
@@ -428,186 +395,7 @@
 void ServingNode::onRequest(ClientRequest request)
 {
     m_dispatcher.onRequest(std::move(request));
-    sendAsks();
-}
-
-void ServingNode::sendAsks()
-{
-    const Millis now = m_ports.clock.now();
-    for (auto entry = m_askedAt.begin(); entry != m_askedAt.end();) {
-        entry = now - entry->second > askRepeat ? m_askedAt.erase(entry) : std::next(entry);
-    }
-    for (const AdapterAsk &ask : m_dispatcher.takeAsks()) {
-        if (!m_askedAt.emplace(std::make_pair(ask.replica, ask.weights), now).second) {
-            continue;
-        }
-        const OwnerEntry *entry = m_owners.find(ask.replica);
-        if (entry == nullptr) {
-            continue;
-        }
-        if (entry->host == m_settings.host) {
-            onAsk(ask);
-        } else {
-            const auto owner = m_members.peers().find(entry->host);
-            if (owner != m_members.peers().end()) {
-                m_ports.peers.send(owner->second.peerAddress, ask);
-            }
-        }
-    }
-}
-
-void ServingNode::onAsk(const AdapterAsk &ask)
-{
-    if (ReplicaOrders *orders = ordersOf(ask.replica)) {
-        orders->onAsk(ask, m_ports.clock.now());
-        stepReplica(ask.replica);
-    }
-}
-
-void ServingNode::sendUses()
-{
-    const Millis now = m_ports.clock.now();
-    for (const auto &[replica, uses] : m_dispatcher.adapterUses()) {
-        const OwnerEntry *entry = m_owners.find(replica);
-        if (entry == nullptr) {
-            continue;
-        }
-        AdapterUseReport report {replica, {}};
-        for (const auto &[weights, use] : uses) {
-            report.uses.push_back(use);
-        }
-        if (entry->host == m_settings.host) {
-            if (ReplicaOrders *orders = ordersOf(replica)) {
-                orders->onUse(m_settings.host, report, now);
-            }
-        } else {
-            const auto owner = m_members.peers().find(entry->host);
-            if (owner != m_members.peers().end()) {
-                m_ports.peers.send(owner->second.peerAddress, report);
-            }
-        }
-    }
-}
-
-bool ServingNode::mayOrder(const ReplicaId &replica) const
-{
-    const OwnerEntry *entry = m_owners.find(replica);
-    const Millis now = m_ports.clock.now();
-    if (entry == nullptr || entry->host != m_settings.host || m_ownersProvenAt.value < 0
-        || now - m_ownersProvenAt > orderHold) {
-        return false;
-    }
-    // The owner before may have ordered until its last proof ran out, and that was older than this entry.
-    const auto since = m_ownedSince.find(replica);
-    return !entry->isTakeover
-        || (since != m_ownedSince.end() && now - since->second > orderHold + m_settings.orderLease + takeoverMargin);
-}
-
-bool ServingNode::canOrder(const ReplicaId &replica) const
-{
-    const OwnerEntry *entry = m_owners.find(replica);
-    if (entry == nullptr) {
-        return false;
-    }
-    return entry->host == m_settings.host ? mayOrder(replica) : m_members.isLive(entry->host, m_ports.clock.now());
-}
-
-ReplicaOrders *ServingNode::ordersOf(const ReplicaId &replica)
-{
-    const auto entry = m_orders.find(replica);
-    return entry == m_orders.end() ? nullptr : entry->second.get();
-}
-
-void ServingNode::stepOrders()
-{
-    for (const auto &[replica, entry] : m_owners.entries()) {
-        if (entry.host == m_settings.host) {
-            stepReplica(replica);
-        }
-    }
-}
-
-void ServingNode::stepReplica(const ReplicaId &replica)
-{
-    const Millis now = m_ports.clock.now();
-    const ServingConfig *config = m_admission.config();
-    const OwnerEntry *entry = m_owners.find(replica);
-    const BackendState *state = m_backends.find(replica);
-    if (config == nullptr || state == nullptr || !mayOrder(replica) || !state->isUsable() || now < state->avoidUntil) {
-        return;
-    }
-    const auto pool = config->pools.find(state->info.pool);
-    if (pool == config->pools.end() || !pool->second.engine) {
-        return;
-    }
-    std::unique_ptr<ReplicaOrders> &orders = m_orders[replica];
-    if (orders == nullptr) {
-        const auto firstSequence = static_cast<uint64_t>(m_ports.clock.wallNow().value);
-        orders = std::make_unique<ReplicaOrders>(replica, m_ports.orders, m_ports.log, firstSequence, [this, replica] {
-            stepReplica(replica);
-        });
-        m_ports.log.record(EventCode::ReplicaTakenOver, replica.text(), "fence " + std::to_string(entry->fence));
-    }
-    const FleetLoads loads = fleetLoads();
-    orders->setFleetLoads(loads.adapters);
-    const EngineSpec &engine = *pool->second.engine;
-    // Every host keeps to its even part of the weight store's rate.
-    const double rate = engine.loadsPerSecond * modelLoadPart;
-    const auto hosts = static_cast<double>(m_members.peers().size() + 1);
-    const Millis spacing(rate > 0 ? static_cast<int64_t>(hosts * millisPerSecond / rate) : 0);
-    const bool mayLoadModel = loads.models < fullSpeedModelLoads && now - m_modelLoadAt >= spacing;
-    if (orders->step({state->info, engine, m_versions, m_settings.host, Epoch(entry->fence), mayLoadModel}, now)) {
-        m_modelLoadAt = now;
-    }
-}
-
-ServingNode::FleetLoads ServingNode::fleetLoads() const
-{
-    const Millis now = m_ports.clock.now();
-    FleetLoads loads {slowLoads(), modelLoads()};
-    for (const auto &[host, member] : m_members.peers()) {
-        if (m_members.isLive(host, now)) {
-            loads.adapters += member.beat.slowLoads;
-            loads.models += member.beat.modelLoads;
-        }
-    }
-    return loads;
-}
-
-int64_t ServingNode::slowLoads() const
-{
-    const Millis now = m_ports.clock.now();
-    int64_t loads = 0;
-    for (const auto &[replica, orders] : m_orders) {
-        loads += orders->slowLoads(now);
-    }
-    return loads;
-}
-
-int64_t ServingNode::modelLoads() const
-{
-    return std::count_if(m_orders.begin(), m_orders.end(), [](const auto &entry) {
-        return entry.second->isLoadingModel();
-    });
-}
-
-void ServingNode::tellNews()
-{
-    const Millis now = m_ports.clock.now();
-    for (const auto &[replica, orders] : m_orders) {
-        const BackendState *state = m_backends.find(replica);
-        if (state == nullptr || !state->isUsable()) {
-            continue;
-        }
-        const std::optional<ResidencyNews> news = orders->takeNews(state->info, now);
-        if (!news) {
-            continue;
-        }
-        m_residency.onNews(m_settings.host, *news, now);
-        for (const auto &[host, member] : m_members.peers()) {
-            m_ports.peers.send(member.peerAddress, *news);
-        }
-    }
+    m_loads.sendAsks(m_dispatcher);
 }
 
 void ServingNode::writeOwnRecord()
@@ -616,9 +404,8 @@
     if (m_hasOwnRecord || m_isWritingRecord || !m_coordination.isLoaded() || now < m_recordAt) {
         return;
     }
-    const nlohmann::json content {{"domain", m_settings.domain.text()},
-                                  {"peer", m_settings.peerAddress},
-                                  {"caller", m_settings.callerAddress}};
+    const nlohmann::json content {
+        {"domain", m_settings.domain.text()}, {"peer", m_settings.peerAddress}, {"caller", m_settings.callerAddress}};
     const auto known = m_coordination.records().find(m_members.ownRecordName());
     const bool isKnown = known != m_coordination.records().end();
     if (isKnown && known->second.content == content) {
@@ -637,48 +424,11 @@
                         });
 }
 
-void ServingNode::assignOwners()
+bool ServingNode::mayAssignOwners() const
 {
     const Millis now = m_ports.clock.now();
-    const ServingConfig *config = m_admission.config();
-    if (m_isAssigning || config == nullptr || !m_coordination.isLoaded() || !m_coordination.isReachable()
-        || !m_hasOwnRecord || !m_backendRecords.isLoaded() || now - m_startedAt < firstAssignment
-        || m_drainStartedAt.value >= 0 || !m_members.isFirst(now)) {
-        return;
-    }
-    std::vector<Placeable> replicas;
-    for (const auto &[id, pool] : config->pools) {
-        if (pool.engine) {
-            for (const BackendState *state : m_backends.usable(id)) {
-                replicas.push_back({state->info.id.text(), state->info.domain});
-            }
-        }
-    }
-    std::vector<Placeable> live {{m_settings.host.text(), m_settings.domain}};
-    for (const auto &[host, member] : m_members.peers()) {
-        if (m_members.isLive(host, now) && !member.beat.isStopping) {
-            live.push_back({host.text(), member.domain});
-        }
-    }
-    std::vector<HostId> lost;
-    for (const auto &[replica, entry] : m_owners.entries()) {
-        if (m_members.isLost(entry.host, now)) {
-            lost.push_back(entry.host);
-        }
-    }
-    OwnerTable next = m_owners;
-    if (!next.assign(replicas, live, lost)) {
-        return;
-    }
-    m_isAssigning = true;
-    const auto known = m_coordination.records().find(ownersRecord);
-    const int64_t revision = known == m_coordination.records().end() ? 0 : known->second.revision;
-    m_ports.store.write(Collection::Coordination, ownersRecord, next.toJson(), revision, [this](StoreWrite write) {
-        m_isAssigning = false;
-        m_ports.log.record(EventCode::OwnersAssigned, m_settings.host.text(),
-                           "result " + std::to_string(static_cast<int>(write.result)));
-        m_coordination.refresh();
-    });
+    return m_coordination.isLoaded() && m_coordination.isReachable() && m_hasOwnRecord && m_backendRecords.isLoaded()
+        && now - m_startedAt >= firstAssignment && m_drainStartedAt.value < 0 && m_members.isFirst(now);
 }
 
 void ServingNode::beginDrain()
--- a/serving/servingnode.h
+++ b/serving/servingnode.h
@@ -10,7 +10,7 @@
 #include "serving/dispatcher.h"
 #include "serving/enginechooser.h"
 #include "serving/fleetmembers.h"
-#include "serving/ownertable.h"
+#include "serving/loadcoordinator.h"
 #include "serving/recordmirror.h"
 #include "serving/requestlog.h"
 #include "serving/residencymap.h"
@@ -32,7 +32,6 @@
 namespace vanillaspar::serving
 {
 
-class ReplicaOrders;
 class OrderPort;
 
 /** Turns records of the store into the types of this subsystem. */
@@ -99,35 +98,16 @@
 private:
     friend struct FleetMessageHandler;
 
-    /** Loads under way in all hosts. */
-    struct FleetLoads
-    {
-        int64_t adapters = 0; ///< From the weight store.
-        int64_t models = 0;
-    };
-
     void onConfiguration(const std::vector<StoredRecord> &records);
     void onBackends(const std::vector<StoredRecord> &records);
     void onVersions(const std::vector<StoredRecord> &records);
     void onCoordination(const std::vector<StoredRecord> &records);
     void onBeat(const HostId &from, const HostBeat &beat);
-    void onAsk(const AdapterAsk &ask);
     void removeLapsed();
-    int64_t modelLoads() const;
     void followTrust();
     void sendBeats();
-    void sendAsks();
-    void sendUses();
-    void stepOrders();
-    void stepReplica(const ReplicaId &replica);
-    FleetLoads fleetLoads() const;
-    int64_t slowLoads() const;
-    void tellNews();
     void writeOwnRecord();
-    void assignOwners();
-    bool mayOrder(const ReplicaId &replica) const;
-    bool canOrder(const ReplicaId &replica) const;
-    ReplicaOrders *ordersOf(const ReplicaId &replica);
+    bool mayAssignOwners() const;
     HostBeat makeBeat() const;
     RecordProof proofOf(int64_t revision, Millis provenAt) const;
 
@@ -139,7 +119,6 @@
     ResidencyMap m_residency;
     AdapterVersions m_versions;
     FleetMembers m_members;
-    OwnerTable m_owners;
     EngineChooser m_chooser;
     RequestLog m_requestLog;
     Dispatcher m_dispatcher;
@@ -147,25 +126,19 @@
     RecordMirror m_backendRecords;
     RecordMirror m_versionRecords;
     RecordMirror m_coordination;
-    std::map<ReplicaId, std::unique_ptr<ReplicaOrders>> m_orders;
-    std::map<ReplicaId, Millis> m_ownedSince; ///< When this host first saw itself as a replica's owner.
+    LoadCoordinator m_loads;
     std::map<ReplicaId, Millis> m_lapsed; ///< Replicas whose entries went missing right after a store outage.
     int64_t m_configRevision = 0;
-    int64_t m_ownersRevision = 0;
     int64_t m_backendsRevision = 0; ///< Newest change of a replica that matters for where work goes.
     Millis m_configProvenAt {-1};
-    Millis m_ownersProvenAt {-1};
     Millis m_startedAt;
     Millis m_beatAt {0};
-    std::map<std::pair<ReplicaId, std::string>, Millis> m_askedAt; ///< Adapters asked for lately.
     Millis m_useAt {0};
     Millis m_recordAt {0};
     Millis m_assignAt {0};
-    Millis m_modelLoadAt {0};
     Millis m_drainStartedAt {-1};
     bool m_isWritingRecord = false;
     bool m_hasOwnRecord = false;
-    bool m_isAssigning = false;
     bool m_wasTrusted = false;
     std::string m_liveHosts; ///< As told in the log last.
 };
