--- a/cluster/messages/fleet.h
+++ b/cluster/messages/fleet.h
@@ -31,7 +31,7 @@
 struct TeamUse
 {
     uint32_t team = 0; ///< Short hash of the team's id.
-    int64_t admitted = 0; ///< Since the host's process started; only grows.
+    int64_t admitted = 0; ///< Since the host's process started, less what was given back.
 
     template<class Archive>
     void serialize(Archive &archive)
--- a/policy/fleetquota.cpp
+++ b/policy/fleetquota.cpp
@@ -39,10 +39,8 @@
         const bool isFirst = peer.incarnation.empty();
         peer = {incarnation, isFirst ? admitted : 0};
     }
-    if (admitted > peer.admitted) {
-        m_level -= static_cast<double>(admitted - peer.admitted);
-        peer.admitted = admitted;
-    }
+    m_level = std::min(m_level - static_cast<double>(admitted - peer.admitted), m_burst * ownPart());
+    peer.admitted = admitted;
 }
 
 bool FleetQuota::take(double cost, Millis now)
@@ -65,7 +63,7 @@
         return;
     }
     refill(now);
-    // Reports only count upwards, so the others keep the cost off; this host may use it again itself.
+    m_admitted -= static_cast<int64_t>(cost);
     m_level = std::min(m_level + cost, m_burst * ownPart());
 }
 
--- a/policy/fleetquota.h
+++ b/policy/fleetquota.h
@@ -29,15 +29,19 @@
      * @param silent those of them that don't report.
      */
     void setHosts(int64_t hosts, int64_t silent, Millis now);
-    /** Takes what a host has admitted since it started. @param incarnation tells its lives apart. */
+    /**
+     * Takes what a host has admitted since it started; what it gave back is taken off.
+     *
+     * @param incarnation tells its lives apart.
+     */
     void onReport(const HostId &host, const std::string &incarnation, int64_t admitted, Millis now);
 
     /** Admits a request if the bucket holds its cost, or a fair part of it if it is a large one. */
     bool take(double cost, Millis now);
-    /** Gives back the cost of a request that was admitted a moment ago and never sent on. */
+    /** Gives back the cost of a request that was admitted and has not run. */
     void giveBack(double cost, Millis now);
 
-    /** @return tokens admitted by this host since its start, for its reports. */
+    /** @return tokens admitted by this host since its start less those given back, for its reports. */
     int64_t admitted() const
     {
         return m_admitted;
--- a/serving/dispatcher.cpp
+++ b/serving/dispatcher.cpp
@@ -434,7 +434,7 @@
 void Dispatcher::refuse(Flow &flow, const Refusal &refusal)
 {
     const Millis now = m_context.clock.now();
-    if (flow.team && refusal.runState == RunState::NotRun && flow.sendCount == 0) {
+    if (flow.team && refusal.runState == RunState::NotRun) {
         m_context.admission.giveBack(*flow.team, flow.cost, now);
     }
     m_context.log.onRefused(flow.request, refusal, now);
--- a/serving/fleetmembers.cpp
+++ b/serving/fleetmembers.cpp
@@ -27,9 +27,14 @@
 {
 }
 
+std::string FleetMembers::recordName(const HostId &host)
+{
+    return recordPrefix + host.text();
+}
+
 std::string FleetMembers::ownRecordName() const
 {
-    return recordPrefix + m_settings.host.text();
+    return recordName(m_settings.host);
 }
 
 bool FleetMembers::isHostRecord(const std::string &name)
--- a/serving/fleetmembers.h
+++ b/serving/fleetmembers.h
@@ -33,6 +33,8 @@
 public:
     FleetMembers(const ServingSettings &settings, Incarnation incarnation);
 
+    /** @return the name of a host's record. */
+    static std::string recordName(const HostId &host);
     /** @return the name of this host's own record. */
     std::string ownRecordName() const;
     static bool isHostRecord(const std::string &name);
--- a/serving/servingnode.cpp
+++ b/serving/servingnode.cpp
@@ -37,6 +37,9 @@
 
 constexpr Millis beatInterval(100);
 constexpr Millis useInterval(200);
+// A host that is gone for good withholds its even part of every quota until its record is removed; one that was only cut
+// off writes it again.
+constexpr Millis recordRetention(15000);
 constexpr Millis retryWrite(500);
 constexpr Millis assignInterval(500);
 // All hosts of a first start are there by then, so that replicas are shared out evenly at once.
@@ -318,6 +321,7 @@
         m_assignAt = now;
         if (mayAssignOwners()) {
             m_loads.assignOwners();
+            removeLostHosts();
         }
     }
     m_dispatcher.tick();
@@ -401,6 +405,8 @@
 void ServingNode::writeOwnRecord()
 {
     const Millis now = m_ports.clock.now();
+    // The others may have removed the record while this host was cut off.
+    m_hasOwnRecord = m_hasOwnRecord && m_coordination.records().count(m_members.ownRecordName()) > 0;
     if (m_hasOwnRecord || m_isWritingRecord || !m_coordination.isLoaded() || now < m_recordAt) {
         return;
     }
@@ -424,6 +430,23 @@
                         });
 }
 
+void ServingNode::removeLostHosts()
+{
+    const Millis now = m_ports.clock.now();
+    for (const auto &[host, member] : m_members.peers()) {
+        const auto record = m_coordination.records().find(FleetMembers::recordName(host));
+        if (record == m_coordination.records().end() || !m_members.isLost(host, now)
+            || now - std::max(member.heardAt, member.knownSince) < recordRetention) {
+            continue;
+        }
+        m_ports.log.record(EventCode::PeerRemoved, host.text(), "silent for long; its record is removed");
+        m_ports.store.remove(Collection::Coordination, record->first, record->second.revision, [this](StoreWrite) {
+            m_coordination.refresh();
+        });
+        return; // one at a time; the next round takes the next
+    }
+}
+
 bool ServingNode::mayAssignOwners() const
 {
     const Millis now = m_ports.clock.now();
--- a/serving/servingnode.h
+++ b/serving/servingnode.h
@@ -107,6 +107,7 @@
     void followTrust();
     void sendBeats();
     void writeOwnRecord();
+    void removeLostHosts();
     bool mayAssignOwners() const;
     HostBeat makeBeat() const;
     RecordProof proofOf(int64_t revision, Millis provenAt) const;
