--- a/policy/fleetquota.cpp
+++ b/policy/fleetquota.cpp
@@ -9,6 +9,7 @@
 {
 
 constexpr double millisPerSecond = 1000;
+constexpr int debtTurns = 3;
 constexpr Millis longestWait(10000); // named to a caller when the bucket will not hold the cost at all
 
 }
@@ -48,8 +49,12 @@
         return true;
     }
     refill(now);
-    if (m_level <= 0) {
-        return false;
+    if (m_level < cost) {
+        // Two of three go in on debt; without debts a large request would never find enough beside small ones.
+        m_debtTurn = m_level > 0 ? (m_debtTurn + 1) % debtTurns : m_debtTurn;
+        if (m_level <= 0 || m_debtTurn == 0) {
+            return false;
+        }
     }
     m_level -= cost;
     m_admitted += static_cast<int64_t>(cost);
--- a/policy/fleetquota.h
+++ b/policy/fleetquota.h
@@ -75,6 +75,7 @@
     double m_level = 0;
     Millis m_refilledAt;
     int64_t m_admitted = 0;
+    int m_debtTurn = 0; ///< Counts requests that found too few tokens.
     int64_t m_hosts = 1;
     int64_t m_silent = 0;
     std::map<HostId, Peer> m_peers;
