--- a/tests/matrix/faultmatrix.cpp
+++ b/tests/matrix/faultmatrix.cpp
@@ -26,6 +26,7 @@
     std::string step;
     std::string shard = "0/1";
     std::string pairs = "0";
+    std::string pair;
     std::string stride = "1";
 };
 
@@ -49,6 +50,7 @@
             const MatrixResult plain = runScenario(scenario, {}, fleetSeed);
             note(scenario.name, "none", 0, plain);
             runFaults(scenario, plain.steps);
+            runNamedPair(scenario);
             runPairs(scenario, plain.steps);
         }
         print();
@@ -94,6 +96,31 @@
         }
     }
 
+    /** Runs the pair that was named, for a scenario that was named too. */
+    void runNamedPair(const Scenario &scenario)
+    {
+        const size_t plus = m_options.pair.find('+');
+        if (m_options.pair.empty() || m_options.scenario != scenario.name || plus == std::string::npos || !isMine()) {
+            return;
+        }
+        const PlannedFault first = parseFault(m_options.pair.substr(0, plus));
+        const PlannedFault second = parseFault(m_options.pair.substr(plus + 1));
+        const std::string name = m_options.pair.substr(0, m_options.pair.rfind('@'));
+        note(scenario.name, "pair", second.step, runScenario(scenario, {first, second}, fleetSeed), name);
+    }
+
+    /** @throws std::invalid_argument if the text isn't FAULT@STEP. */
+    static PlannedFault parseFault(const std::string &text)
+    {
+        const size_t at = text.find('@');
+        for (size_t i = 0; i < faults().size(); ++i) {
+            if (text.substr(0, at) == faults()[i].name && at != std::string::npos) {
+                return {i, std::stoul(text.substr(at + 1))};
+            }
+        }
+        throw std::invalid_argument("no such fault: " + text);
+    }
+
     void note(const std::string &scenario, const std::string &fault, size_t step, const MatrixResult &result,
               const std::string &detail = {})
     {
@@ -148,6 +175,7 @@
     line.addValue("step", options.step, "only this step");
     line.addValue("shard", options.shard, "part of the runs, as in 0/8");
     line.addValue("pairs", options.pairs, "number of pairs of faults to draw");
+    line.addValue("pair", options.pair, "one pair of faults, as in cut@3+outage@9");
     line.addValue("stride", options.stride, "try every n-th step only");
     line.parse(argc, argv);
     return Matrix(options).run();
