--- a/main/vanillasparentry.cpp
+++ b/main/vanillasparentry.cpp
@@ -1,6 +1,7 @@
 #include "core/error.h"
 #include "core/eventlog.h"
 #include "main/commandline.h"
+#include "main/entrymetrics.h"
 #include "main/entrysettings.h"
 #include "main/logfile.h"
 #include "net/bootclock.h"
@@ -54,17 +55,18 @@
     const platform::PlatformRecordDecoder decoder;
     platform::ReplicaLink replicas(upstream);
     platform::CallerFace callers(loop, clock, Endpoint::parse(settings.serving.callerAddress));
-    platform::DirectoryFace directory(loop, clock, [] {
-        return std::string();
-    });
+    EntryMetrics metrics;
     std::unique_ptr<serving::ServingNode> node;
+    platform::DirectoryFace directory(loop, clock, [&] {
+        return metrics.page(node->gauges());
+    });
     FleetTransport peers(loop, settings.serving.host, Endpoint::parse(settings.serving.peerAddress),
                          MessageCodec(settings.clusterSecret), log, [&](const HostId &from, const Message &message) {
                              node->onPeerMessage(from, message);
                          });
     node = std::make_unique<serving::ServingNode>(
         settings.serving,
-        serving::ServingPorts {clock, store, decoder, peers, callers, replicas, replicas, log,
+        serving::ServingPorts {clock, store, decoder, peers, callers, replicas, replicas, log, metrics,
                                [&](const serving::CallerLimits &limits) {
                                    callers.ingress().setLimits(toIngress(limits));
                                }},
--- a/serving/loadcoordinator.cpp
+++ b/serving/loadcoordinator.cpp
@@ -38,7 +38,7 @@
 
 }
 
-LoadCoordinator::LoadCoordinator(LoadContext context) : m_context(std::move(context))
+LoadCoordinator::LoadCoordinator(const LoadContext &context) : m_context(context)
 {
 }
 
--- a/serving/loadcoordinator.h
+++ b/serving/loadcoordinator.h
@@ -63,7 +63,7 @@
 class LoadCoordinator
 {
 public:
-    explicit LoadCoordinator(LoadContext context);
+    explicit LoadCoordinator(const LoadContext &context);
     ~LoadCoordinator();
 
     static bool isOwnersRecord(const std::string &name);
--- a/serving/requestlog.cpp
+++ b/serving/requestlog.cpp
@@ -2,6 +2,7 @@
 
 #include "core/eventlog.h"
 #include "serving/flow.h"
+#include "serving/requestmetrics.h"
 
 namespace vanillaspar::serving
 {
@@ -24,7 +25,7 @@
 
 }
 
-RequestLog::RequestLog(EventLog &log) : m_log(log)
+RequestLog::RequestLog(EventLog &log, RequestMetrics &metrics) : m_log(log), m_metrics(metrics)
 {
 }
 
@@ -58,6 +59,7 @@
 
 void RequestLog::onServed(const Flow &flow, Millis now)
 {
+    m_metrics.onServed(flow, now);
     const bool isLate = flow.answeredAt > flow.objectiveAt;
     if ((isLate || m_served++ % servedSample == 0) && mayWrite(EventCode::RequestServed, {}, now)) {
         m_log.record(EventCode::RequestServed, flow.request.id.text(),
@@ -69,6 +71,7 @@
 
 void RequestLog::onRefused(const ClientRequest &request, const Refusal &refusal, Millis now)
 {
+    m_metrics.onRefused(refusal.code);
     if (mayWrite(EventCode::RequestRefused, refusal.code, now)) {
         m_log.record(EventCode::RequestRefused, request.id.text(),
                      "code=" + std::string(refusalName(refusal.code))
@@ -80,6 +83,7 @@
 
 void RequestLog::onFailed(const Flow &flow, const std::string &why, Millis now)
 {
+    m_metrics.onFailed(flow);
     if (mayWrite(EventCode::RequestFailed, {}, now)) {
         m_log.record(EventCode::RequestFailed, flow.request.id.text(), describe(flow, now) + " why=" + why);
     }
@@ -87,6 +91,7 @@
 
 void RequestLog::onRetried(const Flow &flow, const std::string &why, Millis now)
 {
+    m_metrics.onRetried(flow);
     if (mayWrite(EventCode::RequestRetried, {}, now)) {
         m_log.record(EventCode::RequestRetried, flow.request.id.text(), describe(flow, now) + " why=" + why);
     }
@@ -94,6 +99,7 @@
 
 void RequestLog::onCallerLeft(const Flow &flow, Millis now)
 {
+    m_metrics.onCallerLeft(flow);
     if (mayWrite(EventCode::CallerLeft, {}, now)) {
         m_log.record(EventCode::CallerLeft, flow.request.id.text(), describe(flow, now));
     }
--- a/serving/requestlog.h
+++ b/serving/requestlog.h
@@ -17,14 +17,16 @@
 namespace vanillaspar::serving
 {
 
+class RequestMetrics;
 struct Flow;
 struct ClientRequest;
 
-/** Tells the log how requests fare, within a bound on lines a second for each event and kind of refusal. */
+/** Tells the log and the metrics how requests fare, the log within a bound on lines a second for each event. */
 class RequestLog
 {
 public:
-    explicit RequestLog(EventLog &log);
+    /** @param metrics counts all of them, also those that the bound keeps out of the log. */
+    RequestLog(EventLog &log, RequestMetrics &metrics);
 
     void onServed(const Flow &flow, Millis now);
     void onRefused(const ClientRequest &request, const Refusal &refusal, Millis now);
@@ -46,6 +48,7 @@
     void tellDropped();
 
     EventLog &m_log;
+    RequestMetrics &m_metrics;
     Millis m_secondStart;
     std::map<Subject, Budget> m_budgets;
     uint64_t m_served = 0;
--- a/serving/servingnode.cpp
+++ b/serving/servingnode.cpp
@@ -103,7 +103,7 @@
                 [this](const ReplicaId &replica) {
                     return m_loads.canOrder(replica);
                 })
-    , m_requestLog(m_ports.log)
+    , m_requestLog(m_ports.log, m_ports.metrics)
     , m_dispatcher({m_ports.clock, m_ports.callers, m_ports.attempts, m_admission, m_backends, m_residency, m_versions,
                     m_chooser, m_requestLog, m_settings.domain})
     , m_configuration(m_ports.store, Collection::Configuration, {otherConfigWait, configGap}, m_ports.clock, m_random,
@@ -492,6 +492,24 @@
     });
 }
 
+std::vector<std::pair<std::string, double>> ServingNode::gauges() const
+{
+    const Millis now = m_ports.clock.now();
+    const auto ageOf = [now](Millis provenAt) {
+        constexpr double millisPerSecond = 1000;
+        return provenAt.value < 0 ? -1 : static_cast<double>((now - provenAt).value) / millisPerSecond;
+    };
+    return {{"vanillaspar_open_requests", static_cast<double>(m_dispatcher.openCount())},
+            {"vanillaspar_waiting_requests", static_cast<double>(m_dispatcher.waitingCount())},
+            {"vanillaspar_configuration_revision", static_cast<double>(m_configRevision)},
+            {"vanillaspar_configuration_proof_age_seconds", ageOf(m_configProvenAt)},
+            {"vanillaspar_owners_proof_age_seconds", ageOf(m_loads.provenAt())},
+            {"vanillaspar_adapter_loads", static_cast<double>(m_loads.slowLoads())},
+            {"vanillaspar_model_loads", static_cast<double>(m_loads.modelLoads())},
+            {"vanillaspar_listed_hosts", static_cast<double>(callerAddresses().size())},
+            {"vanillaspar_ready", isReady() ? 1.0 : 0.0}};
+}
+
 std::vector<std::string> ServingNode::callerAddresses() const
 {
     return m_members.callerAddresses(isReady(), m_ports.clock.now());
--- a/serving/servingnode.h
+++ b/serving/servingnode.h
@@ -33,6 +33,7 @@
 {
 
 class OrderPort;
+class RequestMetrics;
 
 /** Turns records of the store into the types of this subsystem. */
 class RecordDecoder
@@ -59,6 +60,7 @@
     AttemptPort &attempts;
     OrderPort &orders;
     EventLog &log;
+    RequestMetrics &metrics;
     std::function<void(const CallerLimits &)> onLimits; ///< Called when the callers' limits changed.
 };
 
@@ -92,6 +94,8 @@
     bool isDrained() const;
     /** @return whether callers should be sent here. */
     bool isReady() const;
+    /** @return figures of the present state for the metrics page: name and value. */
+    std::vector<std::pair<std::string, double>> gauges() const;
     /** @return addresses that callers should use. */
     std::vector<std::string> callerAddresses() const;
 
--- a/tests/fakes/servingfakes.h
+++ b/tests/fakes/servingfakes.h
@@ -8,6 +8,7 @@
 #include "serving/callerport.h"
 #include "serving/clientrequest.h"
 #include "serving/orderport.h"
+#include "serving/requestmetrics.h"
 #include "serving/servingnode.h"
 #include "serving/statestore.h"
 #include "tests/fakes/virtualclock.h"
@@ -38,6 +39,27 @@
     std::vector<std::pair<EventCode, std::string>> lines;
 };
 
+/** Metrics that nobody reads. */
+class FakeMetrics : public RequestMetrics
+{
+public:
+    void onServed(const Flow & /*flow*/, Millis /*now*/) override
+    {
+    }
+    void onRefused(RefusalCode /*code*/) override
+    {
+    }
+    void onFailed(const Flow & /*flow*/) override
+    {
+    }
+    void onRetried(const Flow & /*flow*/) override
+    {
+    }
+    void onCallerLeft(const Flow & /*flow*/) override
+    {
+    }
+};
+
 /** Callers that remember their answers. */
 class FakeCallers : public CallerPort
 {
--- a/tests/net/httploopbacktest.cpp
+++ b/tests/net/httploopbacktest.cpp
@@ -66,7 +66,7 @@
 protected:
     /** @param answers what to say to each request on a connection. @param closesAfter whether to close after the last.
      */
-    void serve(std::vector<std::string> answers, bool closesAfter)
+    void serve(const std::vector<std::string> &answers, bool closesAfter)
     {
         m_listener = std::make_unique<TcpListener>(m_loop, m_endpoint, [this, answers, closesAfter](int descriptor) {
             auto index = std::make_shared<size_t>(0);
--- a/tests/serving/dispatchertest.cpp
+++ b/tests/serving/dispatchertest.cpp
@@ -68,7 +68,8 @@
     EngineChooser m_chooser {m_backends, m_residency, m_versions, DomainId("a"), [](const ReplicaId &) {
                                  return true;
                              }};
-    RequestLog m_requestLog {m_log};
+    FakeMetrics m_metrics;
+    RequestLog m_requestLog {m_log, m_metrics};
     Dispatcher m_dispatcher {{m_clock, m_callers, m_attempts, m_admission, m_backends, m_residency, m_versions,
                               m_chooser, m_requestLog, DomainId("a")}};
 };
--- a/tests/serving/servingnodetest.cpp
+++ b/tests/serving/servingnodetest.cpp
@@ -27,10 +27,11 @@
         m_settings.domain = DomainId("a");
         m_settings.peerAddress = "10.0.0.1:7600";
         m_settings.callerAddress = "10.0.0.1:8000";
-        m_node = std::make_unique<ServingNode>(m_settings,
-                                               ServingPorts {m_clock, m_store, m_decoder, m_peers, m_callers,
-                                                             m_attempts, m_orders, m_log, [](const CallerLimits &) {}},
-                                               5);
+        m_node
+            = std::make_unique<ServingNode>(m_settings,
+                                            ServingPorts {m_clock, m_store, m_decoder, m_peers, m_callers, m_attempts,
+                                                          m_orders, m_log, m_metrics, [](const CallerLimits &) {}},
+                                            5);
     }
     void load()
     {
@@ -100,6 +101,7 @@
     FakeAttempts m_attempts;
     FakeOrders m_orders;
     FakeLog m_log;
+    FakeMetrics m_metrics;
     ServingSettings m_settings;
     std::unique_ptr<ServingNode> m_node;
     std::map<std::string, nlohmann::json> m_written;
