--- a/main/vanillasparentry.cpp
+++ b/main/vanillasparentry.cpp
@@ -15,6 +15,7 @@
 #include "platform/storeclient.h"
 #include "serving/servingnode.h"
 
+#include <cstdlib>
 #include <iostream>
 #include <memory>
 #include <random>
@@ -106,6 +107,9 @@
         callers.ingress().beginClosing();
     });
     loop.run();
+    // Everything is answered and nothing here outlives the process. The libraries' own threads need not be waited for:
+    // where only one thread runs at a time, that kept the listening sockets open until the process was killed.
+    std::quick_exit(0);
 }
 
 int run(int argc, const char **argv)
