--- a/net/httpupstream.cpp
+++ b/net/httpupstream.cpp
@@ -164,7 +164,6 @@
     };
     connection->socket = std::make_unique<StreamSocket>(m_loop, request.endpoint, std::move(events));
     m_connections.emplace(id, std::move(owned));
-    ++m_opened;
     start(*connection, std::move(request), std::move(handlers), exchange);
 }
 
@@ -306,18 +305,6 @@
     m_connections.erase(connection);
 }
 
-void HttpUpstream::dropIdle(const std::string &peer)
-{
-    for (auto &[pool, idle] : m_idle) {
-        if (pool.substr(pool.find('/') + 1) == peer) {
-            for (const uint64_t id : idle) {
-                m_connections.erase(id);
-            }
-            idle.clear();
-        }
-    }
-}
-
 void HttpUpstream::sweep()
 {
     m_retired.clear();
--- a/net/httpupstream.h
+++ b/net/httpupstream.h
@@ -65,14 +65,6 @@
     uint64_t send(UpstreamRequest request, UpstreamHandlers handlers);
     /** Closes the exchange's connection; none of its handlers is called again. */
     void cancel(uint64_t exchange);
-    /** Closes idle connections to a peer, after one of them was found dead. */
-    void dropIdle(const std::string &peer);
-
-    /** @return connections opened so far. */
-    uint64_t openedCount() const
-    {
-        return m_opened;
-    }
 
 private:
     struct Connection;
@@ -94,7 +86,6 @@
     std::map<std::string, std::vector<uint64_t>> m_idle; ///< The most lately used last.
     std::vector<std::unique_ptr<Connection>> m_retired; ///< Cancelled, perhaps from inside their own handlers.
     uint64_t m_nextId = 1;
-    uint64_t m_opened = 0;
 };
 
 }
--- a/serving/admission.h
+++ b/serving/admission.h
@@ -57,6 +57,10 @@
     {
         return m_quotas;
     }
+    const std::map<TeamId, FleetQuota> &quotas() const
+    {
+        return m_quotas;
+    }
     const ServingConfig *config() const
     {
         return m_config.get();
--- a/serving/replicaorders.cpp
+++ b/serving/replicaorders.cpp
@@ -128,7 +128,7 @@
         orderLoad(terms, *outdated, now);
         return false;
     }
-    const std::string *wanted = chooseWant(terms, now);
+    const std::string *wanted = chooseWant(now);
     if (wanted == nullptr) {
         return false;
     }
@@ -179,7 +179,7 @@
     return nullptr;
 }
 
-const std::string *ReplicaOrders::chooseWant(const OrderTerms &terms, Millis now)
+const std::string *ReplicaOrders::chooseWant(Millis now)
 {
     const std::string *chosen = nullptr;
     const Want *best = nullptr;
@@ -201,7 +201,6 @@
         }
         ++entry;
     }
-    (void)terms;
     return chosen;
 }
 
--- a/serving/replicaorders.h
+++ b/serving/replicaorders.h
@@ -108,7 +108,7 @@
     void onUnloadResult(OrderResult result, const std::string &weights, Millis now);
     /** @return whether the result leaves the replica's state known. */
     bool noteResult(OrderResult result, Millis now);
-    const std::string *chooseWant(const OrderTerms &terms, Millis now);
+    const std::string *chooseWant(Millis now);
     const std::string *chooseOutdated(const OrderTerms &terms, Millis now) const;
     const std::string *chooseVictim(Millis now) const;
     int64_t runningOf(const std::string &weights, Millis now) const;
--- a/serving/servingnode.cpp
+++ b/serving/servingnode.cpp
@@ -357,7 +357,7 @@
     beat.configuration = proofOf(m_configRevision, m_configProvenAt);
     beat.owners = proofOf(m_loads.revision(), m_loads.provenAt());
     beat.uses = m_backends.ownUse();
-    for (const auto &[team, quota] : const_cast<Admission &>(m_admission).quotas()) {
+    for (const auto &[team, quota] : m_admission.quotas()) {
         if (quota.isLimited()) {
             beat.teams.push_back({shortHash(team.text()), quota.admitted()});
         }
