--- a/net/httpupstream.cpp
+++ b/net/httpupstream.cpp
@@ -121,22 +121,18 @@
 HttpUpstream::Connection *HttpUpstream::takeIdle(const std::string &pool, bool isRepeatable)
 {
     const auto entry = m_idle.find(pool);
-    if (entry == m_idle.end()) {
+    if (entry == m_idle.end() || entry->second.empty()) {
         return nullptr;
     }
-    while (!entry->second.empty()) {
-        const uint64_t id = entry->second.back();
-        Connection &connection = *m_connections.at(id);
-        const Millis idle = m_clock.now() - connection.idleSince;
-        // A request that must not be repeated keeps well clear of the server's own time-out.
-        const Millis limit = isRepeatable ? connection.keepAlive : connection.keepAlive / 2;
-        if (idle > limit) {
-            return nullptr; // the others have been idle for longer; the sweep closes them
-        }
-        entry->second.pop_back();
-        return &connection;
+    Connection &connection = *m_connections.at(entry->second.back());
+    const Millis idle = m_clock.now() - connection.idleSince;
+    // A request that must not be repeated keeps well clear of the server's own time-out.
+    const Millis limit = isRepeatable ? connection.keepAlive : connection.keepAlive / 2;
+    if (idle > limit) {
+        return nullptr; // the others have been idle for longer; the sweep closes them
     }
-    return nullptr;
+    entry->second.pop_back();
+    return &connection;
 }
 
 void HttpUpstream::open(const std::string &pool, UpstreamRequest &&request, UpstreamHandlers &&handlers,
