Never say of a request that may have run that it has not

Cause: whether an earlier attempt may have run was asked by two of the callers of Dispatcher::refuse() and not by the others, so a repeat that found no replica, a withdrawn key or too long a queue was refused as not run, with 503, and its team's tokens were given back. Only idempotent requests repeat, so nothing ran twice. Changed behaviour: such a refusal is now outcome_unknown, 502, and stays charged. refuse() decides it for all its callers; the flow no longer keeps a flag beside the replicas that it may have run on. Test: DispatcherTest.ARequestThatMayHaveRunIsNeverCalledNotRun, failed before.

--- a/serving/dispatcher.cpp
+++ b/serving/dispatcher.cpp
@@ -272,11 +272,7 @@
 void Dispatcher::endOverdue(Flow &flow)
 {
     if (flow.attempt == 0) {
-        if (flow.mayHaveRun) {
-            refuse(flow, {RefusalCode::OutcomeUnknown, RunState::Unknown, Millis(0), "a lost attempt may have run"});
-        } else {
-            refuse(flow, {RefusalCode::Overloaded, RunState::NotRun, overloadRetry, "no replica had room in time"});
-        }
+        refuse(flow, {RefusalCode::Overloaded, RunState::NotRun, overloadRetry, "no replica had room in time"});
         return;
     }
     if (flow.isAnswering) {
@@ -402,7 +398,6 @@
     const Millis now = m_context.clock.now();
     m_context.backends.onFailure(flow.replica, false, now);
     flow.ranOn.insert(flow.replica);
-    flow.mayHaveRun = true;
     if (flow.isRepeatable() && static_cast<int>(flow.ranOn.size()) < flow.maxReplicas) {
         tryElsewhere(flow, true, RefusalCode::OutcomeUnknown,
                      flow.hasFailed ? "the replica failed the request" : "the replica's answer was lost");
@@ -416,10 +411,7 @@
     const Millis now = m_context.clock.now();
     const bool hasBudget = !countsAsRepeat || budgetOf(flow.pool).takeRepeat(now);
     if (!hasBudget || flow.sendCount >= mostSends || now >= flow.endAt) {
-        const RunState state = flow.mayHaveRun ? RunState::Unknown : RunState::NotRun;
-        refuse(flow,
-               {flow.mayHaveRun ? RefusalCode::OutcomeUnknown : code, state,
-                flow.mayHaveRun ? Millis(0) : overloadRetry, why + (hasBudget ? "" : "; no retry budget left")});
+        refuse(flow, {code, RunState::NotRun, overloadRetry, why + (hasBudget ? "" : "; no retry budget left")});
         return;
     }
     m_context.log.onRetried(flow, why, now);
@@ -434,9 +426,13 @@
     erase(flow);
 }
 
-void Dispatcher::refuse(Flow &flow, const Refusal &refusal)
+void Dispatcher::refuse(Flow &flow, Refusal refusal)
 {
     const Millis now = m_context.clock.now();
+    if (refusal.runState == RunState::NotRun && flow.mayHaveRun()) {
+        refusal = {RefusalCode::OutcomeUnknown, RunState::Unknown, Millis(0),
+                   refusal.detail + "; an earlier attempt may have run"};
+    }
     if (flow.team && refusal.runState == RunState::NotRun) {
         m_context.admission.giveBack(*flow.team, flow.cost, now);
     }
--- a/serving/dispatcher.h
+++ b/serving/dispatcher.h
@@ -121,7 +121,9 @@
     void onRejected(Flow &flow);
     void onLost(Flow &flow);
     void complete(Flow &flow);
-    void refuse(Flow &flow, const Refusal &refusal);
+    /** @param refusal says "not run" of the present state; an earlier attempt that may have run is taken into account.
+     */
+    void refuse(Flow &flow, Refusal refusal);
     void breakOff(Flow &flow, const std::string &why);
     void endOverdue(Flow &flow);
     /** The flow's attempt is over. */
--- a/serving/flow.h
+++ b/serving/flow.h
@@ -41,12 +41,16 @@
     bool isMisdirected = false; ///< The adapter isn't there, or another server has the address.
     bool isOtherServer = false;
     bool hasFailed = false; ///< Whether the replica answered with a failure that may be repeated elsewhere.
-    bool mayHaveRun = false; ///< Whether an earlier attempt may have run.
     int sendCount = 0;
     std::set<ReplicaId> ranOn; ///< Replicas that it may have run on.
     std::set<ReplicaId> avoided; ///< Replicas that could not take it.
     Millis retryAt {0}; ///< Not to be sent before.
 
+    /** @return whether an earlier attempt may have run. */
+    bool mayHaveRun() const
+    {
+        return !ranOn.empty();
+    }
     /** @return whether it may run more than once. */
     bool isRepeatable() const
     {
--- a/tests/serving/dispatchertest.cpp
+++ b/tests/serving/dispatchertest.cpp
@@ -111,6 +111,26 @@
     EXPECT_EQ(answer(1).refusal->runState, RunState::Unknown);
 }
 
+TEST_F(DispatcherTest, ARequestThatMayHaveRunIsNeverCalledNotRun)
+{
+    // Its answer was lost on the one replica and the other one leaves: nobody is left for the repeat.
+    Backend leaving = makeBackend("s2", "desk");
+    leaving.isLeaving = true;
+    m_backends.upsert(leaving);
+    ServingConfig config = makeConfig();
+    config.teams[0].rate = 1000;
+    config.teams[0].burst = 1000;
+    m_admission.setConfig(std::make_shared<ServingConfig>(config), m_clock.now());
+    pass(1000);
+    send(1, "/l/x");
+    ASSERT_EQ(m_attempts.sent.size(), 1U);
+    m_dispatcher.onAttemptEnd(m_attempts.sent[0].attempt, UpstreamEnd::Broken);
+    ASSERT_TRUE(answer(1).refusal);
+    EXPECT_EQ(answer(1).refusal->runState, RunState::Unknown);
+    EXPECT_EQ(answer(1).refusal->code, RefusalCode::OutcomeUnknown);
+    EXPECT_EQ(m_admission.quotas().at(TeamId("house")).admitted(), 1) << "what may have run stays charged";
+}
+
 TEST_F(DispatcherTest, RepeatsStayWithinTheBudget)
 {
     // Replicas that refuse everything: each request would be sent four times.
