Stop counting loads of replicas that have left

Cause: the orders of a replica stayed when its entry went or left the owner table. One that left while its base model loaded counted as a load under way for the rest of the host's life; two of them in the fleet reach the bound on base models and keep every host from ordering another one. Orders are now kept for the own, usable replicas only, in one place instead of at one of the ways in which a replica is lost. Test: ServingNodeTest.AReplicaThatLeavesWhileItLoadsItsModelIsNoLoadAnyMore, failed before.

--- a/serving/loadcoordinator.cpp
+++ b/serving/loadcoordinator.cpp
@@ -61,7 +61,6 @@
             m_ownedSince.emplace(replica, m_context.clock.now());
         } else {
             m_ownedSince.erase(replica);
-            m_orders.erase(replica);
         }
     }
 }
@@ -139,6 +138,7 @@
 void LoadCoordinator::tick()
 {
     followProof();
+    dropOrders();
     for (const auto &[replica, entry] : m_owners.entries()) {
         if (entry.host == m_context.settings.host) {
             stepReplica(replica);
@@ -147,6 +147,16 @@
     tellNews();
 }
 
+void LoadCoordinator::dropOrders()
+{
+    for (auto entry = m_orders.begin(); entry != m_orders.end();) {
+        const OwnerEntry *owner = m_owners.find(entry->first);
+        const BackendState *state = m_context.backends.find(entry->first);
+        const bool isOwn = owner != nullptr && owner->host == m_context.settings.host;
+        entry = isOwn && state != nullptr && state->isUsable() ? std::next(entry) : m_orders.erase(entry);
+    }
+}
+
 ReplicaOrders &LoadCoordinator::openOrders(const ReplicaId &replica, const OwnerEntry &entry)
 {
     std::unique_ptr<ReplicaOrders> &orders = m_orders[replica];
@@ -229,11 +239,7 @@
 {
     const Millis now = m_context.clock.now();
     for (const auto &[replica, orders] : m_orders) {
-        const BackendState *state = m_context.backends.find(replica);
-        if (state == nullptr || !state->isUsable()) {
-            continue;
-        }
-        const std::optional<ResidencyNews> news = orders->takeNews(state->info, now);
+        const std::optional<ResidencyNews> news = orders->takeNews(m_context.backends.find(replica)->info, now);
         if (!news) {
             continue;
         }
--- a/serving/loadcoordinator.h
+++ b/serving/loadcoordinator.h
@@ -116,6 +116,8 @@
     bool mayLoadModel(double loadsPerSecond, int64_t fleetModelLoads) const;
     FleetLoads fleetLoads() const;
     void followProof();
+    /** Drops the orders of replicas that left or that another host orders now; they are no loads any more. */
+    void dropOrders();
     void tellNews();
     void sendTo(const HostId &host, const Message &message);
     std::vector<Placeable> replicasToOwn() const;
--- a/tests/serving/servingnodetest.cpp
+++ b/tests/serving/servingnodetest.cpp
@@ -74,12 +74,19 @@
         beat.isReady = true;
         beat.reachesStore = true;
         beat.configuration = {configRevision, configAge};
+        beat.echoed = lastBeat().sequence;
+        return beat;
+    }
+    /** @return the newest beat that this host has sent. */
+    HostBeat lastBeat() const
+    {
+        HostBeat last;
         for (const auto &[address, message] : m_peers.sent) {
             if (const auto *own = std::get_if<HostBeat>(&message)) {
-                beat.echoed = own->sequence;
+                last = *own;
             }
         }
-        return beat;
+        return last;
     }
     /** @return whether a keyed request is sent on. */
     bool isServed()
@@ -265,6 +272,28 @@
     EXPECT_EQ(m_orders.orders.size(), 1U);
 }
 
+TEST_F(ServingNodeTest, AReplicaThatLeavesWhileItLoadsItsModelIsNoLoadAnyMore)
+{
+    load();
+    pass(100, true);
+    const nlohmann::json owners {{"fence", 3},
+                                 {"replicas", {{"e1", {{"host", "h1"}, {"fence", 3}, {"takeover", false}}}}}};
+    m_node->tick();
+    m_store.answer(Collection::Coordination, {StoreResult::Done, {{"owners", 40, owners, false}}, false, 40});
+    pass(200, true);
+    ASSERT_EQ(m_orders.reports.size(), 1U);
+    m_orders.answerReport(Holdings {});
+    pass(20, true);
+    ASSERT_EQ(m_orders.orders.size(), 1U);
+    m_orders.answer(OrderResult::Accepted);
+    pass(200, true);
+    EXPECT_EQ(lastBeat().modelLoads, 1);
+    m_node->tick();
+    m_store.answer(Collection::Backends, {StoreResult::Done, {{"e1", 50, nullptr, true}}, false, 50});
+    pass(200, true);
+    EXPECT_EQ(lastBeat().modelLoads, 0) << "two such loads would keep every host from ordering another one";
+}
+
 TEST_F(ServingNodeTest, AStoppingHostLeavesTheAddressListAndServesOn)
 {
     load();
