--- a/cluster/peerlink.h
+++ b/cluster/peerlink.h
@@ -4,6 +4,7 @@
 #include "core/ids.h"
 
 #include <string>
+#include <vector>
 
 namespace vanillaspar
 {
@@ -22,6 +23,13 @@
      * @param address the peer's IP number and port.
      */
     virtual void send(const std::string &address, const Message &message) = 0;
+    /** Sends the same message to several peers. */
+    virtual void sendAll(const std::vector<std::string> &addresses, const Message &message)
+    {
+        for (const std::string &address : addresses) {
+            send(address, message);
+        }
+    }
 };
 
 }
--- a/config/fieldtable.h
+++ b/config/fieldtable.h
@@ -24,6 +24,13 @@
     }
     to = from.get<int64_t>();
 }
+inline void readValue(const nlohmann::json &from, double &to)
+{
+    if (!from.is_number()) {
+        throw DocumentError("must be a number");
+    }
+    to = from.get<double>();
+}
 inline void readValue(const nlohmann::json &from, bool &to)
 {
     to = from.get<bool>();
@@ -117,6 +124,25 @@
         return record;
     }
 
+    /**
+     * Reads a record whose fields stand among others, and takes them out.
+     *
+     * @param from a JSON object; the record's fields are removed from it.
+     * @throws DocumentError as read() does.
+     */
+    Record take(nlohmann::json &from, const std::string &where) const
+    {
+        nlohmann::json own = nlohmann::json::object();
+        for (const Field &field : m_fields) {
+            const auto found = from.find(field.name);
+            if (found != from.end()) {
+                own[field.name] = std::move(*found);
+                from.erase(found);
+            }
+        }
+        return read(own, where);
+    }
+
     /** @return the record as a JSON object with every field. */
     nlohmann::json write(const Record &record) const
     {
--- a/core/hash.cpp
+++ b/core/hash.cpp
@@ -12,6 +12,11 @@
     return XXH64(text.data(), text.size(), seed);
 }
 
+uint32_t shortHash(std::string_view text)
+{
+    return static_cast<uint32_t>(stableHash(text));
+}
+
 std::string sha256Hex(std::string_view text)
 {
     static const char digits[] = "0123456789abcdef";
--- a/core/hash.h
+++ b/core/hash.h
@@ -16,6 +16,9 @@
  */
 uint64_t stableHash(std::string_view text, uint64_t seed = 0);
 
+/** @return a short form of stableHash(), by which hosts name things to each other. */
+uint32_t shortHash(std::string_view text);
+
 /**
  * SHA-256 digest, for keys, request bodies and configuration parts.
  *
--- a/core/units.h
+++ b/core/units.h
@@ -20,4 +20,18 @@
 /** Fencing number of a replica's owner; it only grows. */
 using Epoch = Quantity<struct EpochUnit>;
 
+/** @return a duration in seconds, with fractions. */
+constexpr double toSeconds(Millis duration)
+{
+    constexpr double millisPerSecond = 1000;
+    return static_cast<double>(duration.value) / millisPerSecond;
+}
+
+/** @return a duration of so many seconds, cut to whole milliseconds. */
+constexpr Millis fromSeconds(double seconds)
+{
+    constexpr double millisPerSecond = 1000;
+    return Millis(static_cast<int64_t>(seconds * millisPerSecond));
+}
+
 }
--- a/main/daemonsettings.cpp
+++ b/main/daemonsettings.cpp
@@ -2,6 +2,7 @@
 
 #include "config/fieldtable.h"
 #include "config/yamlsource.h"
+#include "main/settingschecks.h"
 #include "net/endpoint.h"
 
 #include <functional>
@@ -44,8 +45,6 @@
     {"log-file", &DaemonSettings::logFile, false},
 });
 
-constexpr size_t shortestSecret = 16; // characters
-
 std::vector<std::string> takeSeeds(Json &fields)
 {
     std::vector<std::string> seeds;
@@ -68,12 +67,8 @@
     Endpoint::parse(settings.platformAddress);
     Endpoint::parse(settings.node.peerAddress);
     Endpoint::parse(settings.node.callerAddress);
-    if (settings.clusterSecret.size() < shortestSecret) {
-        throw DocumentError("/cluster-secret: is shorter than 16 characters");
-    }
-    if (settings.logFormat != "text" && settings.logFormat != "json") {
-        throw DocumentError("/log-format: must be text or json");
-    }
+    checkSecret(settings.clusterSecret);
+    checkLogFormat(settings.logFormat);
     if (settings.node.renewInterval * 2 > settings.node.shortLease) {
         throw DocumentError("/short-lease-ms: must be at least twice renew-interval-ms");
     }
@@ -93,14 +88,7 @@
     try {
         Json nodePart = source.json().is_object() ? source.json() : Json::object();
         const std::vector<std::string> seeds = takeSeeds(nodePart);
-        Json daemonPart = Json::object();
-        for (const char *field : {"platform-address", "cluster-secret", "operator-hash", "log-format", "log-file"}) {
-            if (nodePart.contains(field)) {
-                daemonPart[field] = nodePart[field];
-                nodePart.erase(field);
-            }
-        }
-        DaemonSettings settings = daemonFields.read(daemonPart, "");
+        DaemonSettings settings = daemonFields.take(nodePart, "");
         settings.node = nodeFields.read(nodePart, "");
         settings.node.seeds = seeds;
         check(settings);
--- a/main/entrymetrics.cpp
+++ b/main/entrymetrics.cpp
@@ -20,12 +20,6 @@
     return buckets;
 }
 
-double seconds(Millis duration)
-{
-    constexpr double millisPerSecond = 1000;
-    return static_cast<double>(duration.value) / millisPerSecond;
-}
-
 const char *kindName(serving::RequestKind kind)
 {
     switch (kind) {
@@ -89,9 +83,9 @@
 {
     count(flow, flow.answeredAt > flow.objectiveAt ? "late" : "in-time");
     const std::map<std::string, std::string> labels = labelsOf(flow);
-    m_firstEvent.Add(labels, secondBuckets()).Observe(seconds(flow.answeredAt - flow.request.receivedAt));
-    m_total.Add(labels, secondBuckets()).Observe(seconds(now - flow.request.receivedAt));
-    m_queued.Add(labels, secondBuckets()).Observe(seconds(flow.sentAt - flow.request.receivedAt));
+    m_firstEvent.Add(labels, secondBuckets()).Observe(toSeconds(flow.answeredAt - flow.request.receivedAt));
+    m_total.Add(labels, secondBuckets()).Observe(toSeconds(now - flow.request.receivedAt));
+    m_queued.Add(labels, secondBuckets()).Observe(toSeconds(flow.sentAt - flow.request.receivedAt));
 }
 
 void EntryMetrics::onRefused(RefusalCode code)
--- a/main/entrysettings.cpp
+++ b/main/entrysettings.cpp
@@ -2,6 +2,7 @@
 
 #include "config/fieldtable.h"
 #include "config/yamlsource.h"
+#include "main/settingschecks.h"
 #include "net/endpoint.h"
 
 namespace vanillaspar
@@ -13,10 +14,8 @@
 using Json = nlohmann::json;
 using serving::ServingSettings;
 
-constexpr size_t shortestSecret = 16; // characters
-
 const FieldTable<ServingSettings, HostId ServingSettings::*, DomainId ServingSettings::*,
-                 std::string ServingSettings::*, Millis ServingSettings::*>
+                 std::string ServingSettings::*, Millis ServingSettings::*, double ServingSettings::*>
     servingFields({
         {"host", &ServingSettings::host, true},
         {"domain", &ServingSettings::domain, true},
@@ -25,6 +24,8 @@
         {"revoke-limit-ms", &ServingSettings::revokeLimit, false},
         {"order-lease-ms", &ServingSettings::orderLease, false},
         {"version-limit-ms", &ServingSettings::versionLimit, false},
+        {"retry-ratio", &ServingSettings::retryRatio, false},
+        {"retry-allowance", &ServingSettings::retryAllowance, false},
     });
 
 const FieldTable<EntrySettings, std::string EntrySettings::*> entryFields({
@@ -36,19 +37,17 @@
     {"log-format", &EntrySettings::logFormat, false},
 });
 
-/** Moves a number out of the fields that a table reads. */
-void takeNumber(Json &fields, const char *name, double &value)
+/** Times that the platform names in seconds, with fractions. */
+struct SecondsSettings
 {
-    const auto found = fields.find(name);
-    if (found == fields.end()) {
-        return;
-    }
-    if (!found->is_number()) {
-        throw DocumentError(std::string("/") + name + ": must be a number");
-    }
-    value = found->get<double>();
-    fields.erase(name);
-}
+    double shutdownGrace = toSeconds(ServingSettings().shutdownGrace);
+    double retryWindow = toSeconds(ServingSettings().retryWindow);
+};
+
+const FieldTable<SecondsSettings, double SecondsSettings::*> secondsFields({
+    {"shutdown-grace-s", &SecondsSettings::shutdownGrace, false},
+    {"retry-window-s", &SecondsSettings::retryWindow, false},
+});
 
 void checkAddress(const char *field, const std::string &address)
 {
@@ -69,12 +68,8 @@
     if (!settings.metricsAddress.empty()) {
         checkAddress("metrics-address", settings.metricsAddress);
     }
-    if (settings.clusterSecret.size() < shortestSecret) {
-        throw DocumentError("/cluster-secret: is shorter than 16 characters");
-    }
-    if (settings.logFormat != "text" && settings.logFormat != "json") {
-        throw DocumentError("/log-format: must be text or json");
-    }
+    checkSecret(settings.clusterSecret);
+    checkLogFormat(settings.logFormat);
     if (settings.serving.revokeLimit.value < 1 || settings.serving.orderLease.value < 1
         || settings.serving.versionLimit.value < 1 || settings.serving.shutdownGrace.value < 1
         || settings.serving.retryWindow.value < 1) {
@@ -86,31 +81,14 @@
 
 EntrySettings EntrySettings::fromYaml(const std::string &text, const std::string &name)
 {
-    constexpr double millisPerSecond = 1000;
     const YamlSource source(text, name);
     try {
-        Json servingPart = source.json().is_object() ? source.json() : Json::object();
-        Json entryPart = Json::object();
-        for (const char *field : {"directory-address", "readiness-address", "metrics-address", "store-address",
-                                  "cluster-secret", "log-format"}) {
-            if (servingPart.contains(field)) {
-                entryPart[field] = servingPart[field];
-                servingPart.erase(field);
-            }
-        }
-        ServingSettings numbers;
-        double grace = static_cast<double>(numbers.shutdownGrace.value) / millisPerSecond;
-        double window = static_cast<double>(numbers.retryWindow.value) / millisPerSecond;
-        takeNumber(servingPart, "shutdown-grace-s", grace);
-        takeNumber(servingPart, "retry-window-s", window);
-        takeNumber(servingPart, "retry-ratio", numbers.retryRatio);
-        takeNumber(servingPart, "retry-allowance", numbers.retryAllowance);
-        EntrySettings settings = entryFields.read(entryPart, "");
-        settings.serving = servingFields.read(servingPart, "");
-        settings.serving.shutdownGrace = Millis(static_cast<int64_t>(grace * millisPerSecond));
-        settings.serving.retryWindow = Millis(static_cast<int64_t>(window * millisPerSecond));
-        settings.serving.retryRatio = numbers.retryRatio;
-        settings.serving.retryAllowance = numbers.retryAllowance;
+        Json fields = source.json().is_object() ? source.json() : Json::object();
+        const SecondsSettings seconds = secondsFields.take(fields, "");
+        EntrySettings settings = entryFields.take(fields, "");
+        settings.serving = servingFields.read(fields, "");
+        settings.serving.shutdownGrace = fromSeconds(seconds.shutdownGrace);
+        settings.serving.retryWindow = fromSeconds(seconds.retryWindow);
         check(settings);
         return settings;
     } catch (const DocumentError &error) {
--- a/main/prometheusmetrics.cpp
+++ b/main/prometheusmetrics.cpp
@@ -23,11 +23,6 @@
     return buckets;
 }
 
-double seconds(Millis duration)
-{
-    return static_cast<double>(duration.value) / 1000.0;
-}
-
 std::string gauge(const std::string &name, const std::string &help, double value)
 {
     return "# HELP " + name + " " + help + "\n# TYPE " + name + " gauge\n" + name + " " + std::to_string(value) + "\n";
@@ -65,11 +60,11 @@
     std::map<std::string, std::string> ended = labels;
     ended["result"] = outcome.refusal ? std::string(refusalName(*outcome.refusal)) : "complete";
     m_requests.Add(ended).Increment();
-    m_total.Add(labels, secondBuckets()).Observe(seconds(outcome.total));
+    m_total.Add(labels, secondBuckets()).Observe(toSeconds(outcome.total));
     m_tokens.Add(labels).Increment(static_cast<double>(outcome.used.value));
     if (!outcome.refusal) {
-        m_firstPiece.Add(labels, secondBuckets()).Observe(seconds(outcome.firstPiece));
-        m_loadWait.Add(labels, secondBuckets()).Observe(seconds(outcome.loadWait));
+        m_firstPiece.Add(labels, secondBuckets()).Observe(toSeconds(outcome.firstPiece));
+        m_loadWait.Add(labels, secondBuckets()).Observe(toSeconds(outcome.loadWait));
     }
 }
 
--- a/main/vanillaspard.cpp
+++ b/main/vanillaspard.cpp
@@ -1,6 +1,7 @@
 #include "core/error.h"
 #include "core/hash.h"
 #include "main/commandline.h"
+#include "main/daemonmain.h"
 #include "main/daemonsettings.h"
 #include "main/logfile.h"
 #include "main/prometheusmetrics.h"
@@ -13,9 +14,7 @@
 #include "net/peertransport.h"
 #include "node/node.h"
 
-#include <iostream>
 #include <memory>
-#include <random>
 
 namespace vanillaspar
 {
@@ -24,14 +23,6 @@
 {
 
 constexpr Millis tickInterval(20);
-constexpr int usageError = 2;
-constexpr int resourceError = 3;
-
-uint64_t randomSeed()
-{
-    std::random_device device;
-    return (static_cast<uint64_t>(device()) << 32) | device();
-}
 
 /** Joins the parts of one entry host and runs them until the shutdown is over. */
 void runDaemon(DaemonSettings settings)
@@ -74,45 +65,19 @@
     loop.run();
 }
 
-int run(int argc, const char **argv)
-{
-    std::string settingsPath;
-    bool isCheck = false;
-    bool isVersion = false;
-    CommandLine line("--settings FILE");
-    line.addValue("settings", settingsPath, "YAML settings of this host");
-    line.addFlag("check-settings", isCheck, "check the settings and end");
-    line.addFlag("version", isVersion, "print the version and end");
-    line.parse(argc, argv);
-    if (isVersion) {
-        std::cout << "vanillaspard " << VANILLASPAR_VERSION << "\n";
-        return 0;
-    }
-    if (settingsPath.empty()) {
-        throw DocumentError("--settings is missing");
-    }
-    const DaemonSettings settings = DaemonSettings::fromYaml(readFile(settingsPath), settingsPath);
-    if (isCheck) {
-        std::cout << settingsPath << ": settings are valid\n";
-        return 0;
-    }
-    runDaemon(settings);
-    return 0;
-}
-
 }
 
 }
 
 int main(int argc, char **argv)
 {
-    try {
-        return vanillaspar::run(argc, const_cast<const char **>(argv));
-    } catch (const vanillaspar::DocumentError &error) {
-        std::cerr << "vanillaspard: " << error.what() << "\n";
-        return vanillaspar::usageError;
-    } catch (const vanillaspar::Error &error) {
-        std::cerr << "vanillaspard: " << error.what() << "\n";
-        return vanillaspar::resourceError;
-    }
+    using namespace vanillaspar;
+    const auto read = [](const std::string &path) {
+        return DaemonSettings::fromYaml(readFile(path), path);
+    };
+    return runProgram({"vanillaspard", read,
+                       [&](const std::string &path) {
+                           runDaemon(read(path));
+                       }},
+                      argc, argv);
 }
--- a/main/vanillasparentry.cpp
+++ b/main/vanillasparentry.cpp
@@ -1,6 +1,7 @@
 #include "core/error.h"
 #include "core/eventlog.h"
 #include "main/commandline.h"
+#include "main/daemonmain.h"
 #include "main/entrymetrics.h"
 #include "main/entrysettings.h"
 #include "main/logfile.h"
@@ -16,9 +17,7 @@
 #include "serving/servingnode.h"
 
 #include <cstdlib>
-#include <iostream>
 #include <memory>
-#include <random>
 
 namespace vanillaspar
 {
@@ -28,20 +27,6 @@
 
 constexpr Millis tickInterval(10);
 constexpr Millis settingsInterval(1000); // the file may change without a signal
-constexpr int usageError = 2;
-constexpr int resourceError = 3;
-
-uint64_t randomSeed()
-{
-    std::random_device device;
-    return (static_cast<uint64_t>(device()) << 32) | device();
-}
-
-IngressLimits toIngress(const serving::CallerLimits &limits)
-{
-    return {static_cast<size_t>(limits.headBytes), static_cast<size_t>(limits.bodyBytes), limits.headTimeout,
-            limits.idleTimeout};
-}
 
 /** Joins the parts of one entry host on the platform and runs them until the shutdown is over. */
 void runEntry(const std::string &path)
@@ -65,13 +50,13 @@
                          MessageCodec(settings.clusterSecret), log, [&](const HostId &from, const Message &message) {
                              node->onPeerMessage(from, message);
                          });
-    node = std::make_unique<serving::ServingNode>(
-        settings.serving,
-        serving::ServingPorts {clock, store, decoder, peers, callers, replicas, replicas, log, metrics,
-                               [&](const serving::CallerLimits &limits) {
-                                   callers.ingress().setLimits(toIngress(limits));
-                               }},
-        randomSeed());
+    node = std::make_unique<serving::ServingNode>(settings.serving,
+                                                  serving::ServingPorts {clock, store, decoder, peers, callers,
+                                                                         replicas, replicas, log, metrics,
+                                                                         [&](const IngressLimits &limits) {
+                                                                             callers.ingress().setLimits(limits);
+                                                                         }},
+                                                  randomSeed());
     replicas.setDispatcher(&node->dispatcher());
     callers.setNode(node.get());
     directory.setNode(node.get());
@@ -112,45 +97,15 @@
     std::quick_exit(0);
 }
 
-int run(int argc, const char **argv)
-{
-    std::string settingsPath;
-    bool isCheck = false;
-    bool isVersion = false;
-    CommandLine line("--settings FILE");
-    line.addValue("settings", settingsPath, "YAML settings of this host");
-    line.addFlag("check-settings", isCheck, "check the settings and end");
-    line.addFlag("version", isVersion, "print the version and end");
-    line.parse(argc, argv);
-    if (isVersion) {
-        std::cout << "vanillaspar-entry " << VANILLASPAR_VERSION << "\n";
-        return 0;
-    }
-    if (settingsPath.empty()) {
-        throw DocumentError("--settings is missing");
-    }
-    if (isCheck) {
-        EntrySettings::fromYaml(readFile(settingsPath), settingsPath);
-        std::cout << settingsPath << ": settings are valid\n";
-        return 0;
-    }
-    runEntry(settingsPath);
-    return 0;
-}
-
 }
 
 }
 
 int main(int argc, char **argv)
 {
-    try {
-        return vanillaspar::run(argc, const_cast<const char **>(argv));
-    } catch (const vanillaspar::DocumentError &error) {
-        std::cerr << "vanillaspar-entry: " << error.what() << "\n";
-        return vanillaspar::usageError;
-    } catch (const vanillaspar::Error &error) {
-        std::cerr << "vanillaspar-entry: " << error.what() << "\n";
-        return vanillaspar::resourceError;
-    }
+    using namespace vanillaspar;
+    const auto check = [](const std::string &path) {
+        EntrySettings::fromYaml(readFile(path), path);
+    };
+    return runProgram({"vanillaspar-entry", check, runEntry}, argc, argv);
 }
--- a/net/datagramsocket.cpp
+++ b/net/datagramsocket.cpp
@@ -3,8 +3,6 @@
 #include "core/error.h"
 #include "net/descriptorwatch.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -17,19 +15,10 @@
 constexpr size_t largestDatagram = 65536; // bytes
 constexpr int datagramsPerWakeup = 64;
 
-sockaddr_in toSocketAddress(const Endpoint &endpoint)
-{
-    sockaddr_in address {};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(static_cast<uint16_t>(endpoint.port));
-    inet_pton(AF_INET, endpoint.ip.c_str(), &address.sin_addr);
-    return address;
-}
-
 int bindTo(const Endpoint &endpoint)
 {
     const int descriptor = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    const sockaddr_in address = toSocketAddress(endpoint);
+    const sockaddr_in address = endpoint.socketAddress();
     if (bind(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0) {
         close(descriptor);
         throw ResourceError("can't receive datagrams on " + endpoint.text());
@@ -53,7 +42,7 @@
 
 void DatagramSocket::send(const Endpoint &to, std::string_view data)
 {
-    const sockaddr_in target = toSocketAddress(to);
+    const sockaddr_in target = to.socketAddress();
     sendto(m_watch->descriptor(), data.data(), data.size(), MSG_DONTWAIT, reinterpret_cast<const sockaddr *>(&target),
            sizeof(target));
 }
--- a/net/endpoint.cpp
+++ b/net/endpoint.cpp
@@ -31,4 +31,13 @@
     return ip + ":" + std::to_string(port);
 }
 
+sockaddr_in Endpoint::socketAddress() const
+{
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<uint16_t>(port));
+    inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
+    return address;
+}
+
 }
--- a/net/endpoint.h
+++ b/net/endpoint.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <netinet/in.h>
 #include <string>
 
 namespace vanillaspar
@@ -15,6 +16,8 @@
     static Endpoint parse(const std::string &text);
     /** @return "IP:port". */
     std::string text() const;
+    /** @return the address as the socket calls take it. */
+    sockaddr_in socketAddress() const;
 };
 
 }
--- a/net/fleettransport.cpp
+++ b/net/fleettransport.cpp
@@ -21,7 +21,15 @@
 
 void FleetTransport::send(const std::string &address, const Message &message)
 {
-    m_socket.send(Endpoint::parse(address), m_codec.encode(m_self, message));
+    sendAll({address}, message);
+}
+
+void FleetTransport::sendAll(const std::vector<std::string> &addresses, const Message &message)
+{
+    const std::string frame = m_codec.encode(m_self, message);
+    for (const std::string &address : addresses) {
+        m_socket.send(Endpoint::parse(address), frame);
+    }
 }
 
 void FleetTransport::receive(std::string_view frame)
--- a/net/fleettransport.h
+++ b/net/fleettransport.h
@@ -23,6 +23,8 @@
                    Handler handler);
 
     void send(const std::string &address, const Message &message) override;
+    /** Encodes the message once for all. */
+    void sendAll(const std::vector<std::string> &addresses, const Message &message) override;
 
 private:
     void receive(std::string_view frame);
--- a/net/httpingress.h
+++ b/net/httpingress.h
@@ -3,6 +3,7 @@
 #include "core/units.h"
 #include "net/endpoint.h"
 #include "net/httphead.h"
+#include "net/ingresslimits.h"
 
 #include <cstdint>
 #include <functional>
@@ -19,15 +20,6 @@
 class Loop;
 class TcpListener;
 
-/** What a caller may send, and how long it may take. */
-struct IngressLimits
-{
-    size_t headBytes = 16384;
-    size_t bodyBytes = 4194304;
-    Millis headTimeout {3000};
-    Millis idleTimeout {15000};
-};
-
 /** One whole request that was received. */
 struct IngressRequest
 {
@@ -77,11 +69,6 @@
     /** Closes the connection, so that an answer under way can't look complete. */
     void abort(uint64_t exchange);
 
-    size_t connectionCount() const
-    {
-        return m_connections.size();
-    }
-
 private:
     struct Connection;
 
--- a/net/httpupstream.cpp
+++ b/net/httpupstream.cpp
@@ -118,6 +118,23 @@
     return exchange;
 }
 
+uint64_t HttpUpstream::sendWhole(UpstreamRequest request, std::function<void(const UpstreamAnswer &)> handler)
+{
+    const auto answer = std::make_shared<UpstreamAnswer>();
+    UpstreamHandlers handlers;
+    handlers.onHead = [answer](HttpHead &head) {
+        answer->status = head.status;
+    };
+    handlers.onBody = [answer](std::string_view data) {
+        answer->body.append(data);
+    };
+    handlers.onEnd = [answer, handler = std::move(handler)](UpstreamEnd how) {
+        answer->end = how;
+        handler(*answer);
+    };
+    return send(std::move(request), std::move(handlers));
+}
+
 HttpUpstream::Connection *HttpUpstream::takeIdle(const std::string &pool, bool isRepeatable)
 {
     const auto entry = m_idle.find(pool);
--- a/net/httpupstream.h
+++ b/net/httpupstream.h
@@ -52,6 +52,14 @@
     std::function<void(UpstreamEnd)> onEnd; ///< Called once, last.
 };
 
+/** A whole answer of a server. */
+struct UpstreamAnswer
+{
+    UpstreamEnd end = UpstreamEnd::NotSent;
+    int status = 0; ///< 0 if no answer began.
+    std::string body;
+};
+
 /** HTTP/1.1 requests to servers over kept connections, one request at a time on each. */
 class HttpUpstream
 {
@@ -63,6 +71,8 @@
 
     /** Sends a request. @return a number for cancel(). */
     uint64_t send(UpstreamRequest request, UpstreamHandlers handlers);
+    /** Sends a request whose answer is wanted as a whole. @return a number for cancel(). */
+    uint64_t sendWhole(UpstreamRequest request, std::function<void(const UpstreamAnswer &)> handler);
     /** Closes the exchange's connection; none of its handlers is called again. */
     void cancel(uint64_t exchange);
 
--- a/net/loop.cpp
+++ b/net/loop.cpp
@@ -95,23 +95,23 @@
 
 void Loop::onTerminate(std::function<void()> action)
 {
-    std::signal(SIGTERM, onSignal);
-    std::signal(SIGINT, onSignal);
     std::signal(SIGPIPE, SIG_IGN);
-    every(signalPoll, [action = std::move(action)] {
-        if (terminateRequested != 0) {
-            terminateRequested = 0;
-            action();
-        }
-    });
+    onFlag(terminateRequested, {SIGTERM, SIGINT}, std::move(action));
 }
 
 void Loop::onReload(std::function<void()> action)
 {
-    std::signal(SIGHUP, onSignal);
-    every(signalPoll, [action = std::move(action)] {
-        if (reloadRequested != 0) {
-            reloadRequested = 0;
+    onFlag(reloadRequested, {SIGHUP}, std::move(action));
+}
+
+void Loop::onFlag(volatile std::sig_atomic_t &flag, std::initializer_list<int> signals, std::function<void()> action)
+{
+    for (const int signal : signals) {
+        std::signal(signal, onSignal);
+    }
+    every(signalPoll, [&flag, action = std::move(action)] {
+        if (flag != 0) {
+            flag = 0;
             action();
         }
     });
--- a/net/peertransport.cpp
+++ b/net/peertransport.cpp
@@ -131,11 +131,7 @@
 
 void PeerTransport::sendDatagram(const std::string &address, const std::string &frame)
 {
-    const Endpoint endpoint = Endpoint::parse(address);
-    sockaddr_in target {};
-    target.sin_family = AF_INET;
-    target.sin_port = htons(static_cast<uint16_t>(endpoint.port));
-    inet_pton(AF_INET, endpoint.ip.c_str(), &target.sin_addr);
+    const sockaddr_in target = Endpoint::parse(address).socketAddress();
     sendto(lws_get_socket_fd(m_udp), frame.data(), frame.size(), MSG_DONTWAIT,
            reinterpret_cast<const sockaddr *>(&target), sizeof(target));
 }
@@ -231,11 +227,7 @@
     if (socket < 0) {
         return;
     }
-    const Endpoint endpoint = Endpoint::parse(address);
-    sockaddr_in target {};
-    target.sin_family = AF_INET;
-    target.sin_port = htons(static_cast<uint16_t>(endpoint.port));
-    inet_pton(AF_INET, endpoint.ip.c_str(), &target.sin_addr);
+    const sockaddr_in target = Endpoint::parse(address).socketAddress();
     const bool hasFailed = ::connect(socket, reinterpret_cast<const sockaddr *>(&target), sizeof(target)) != 0;
     m_probes.push_back({address, m_loop.now(), socket, hasFailed ? errno : 0});
 }
--- a/net/streamsocket.cpp
+++ b/net/streamsocket.cpp
@@ -3,7 +3,6 @@
 #include "core/error.h"
 #include "net/descriptorwatch.h"
 
-#include <arpa/inet.h>
 #include <cerrno>
 #include <fcntl.h>
 #include <netinet/in.h>
@@ -46,10 +45,7 @@
     : m_handlers(std::make_shared<const Handlers>(std::move(handlers))), m_descriptor(openSocket())
 {
     setOptions();
-    sockaddr_in target {};
-    target.sin_family = AF_INET;
-    target.sin_port = htons(static_cast<uint16_t>(endpoint.port));
-    inet_pton(AF_INET, endpoint.ip.c_str(), &target.sin_addr);
+    const sockaddr_in target = endpoint.socketAddress();
     // A failure shows again as an error of the socket when the loop looks at it.
     (void)connect(m_descriptor, reinterpret_cast<const sockaddr *>(&target), sizeof(target));
     watch(loop);
--- a/net/tcplistener.cpp
+++ b/net/tcplistener.cpp
@@ -3,8 +3,6 @@
 #include "core/error.h"
 #include "net/descriptorwatch.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -22,10 +20,7 @@
     const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     const int on = 1;
     setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-    sockaddr_in address {};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(static_cast<uint16_t>(endpoint.port));
-    inet_pton(AF_INET, endpoint.ip.c_str(), &address.sin_addr);
+    const sockaddr_in address = endpoint.socketAddress();
     if (bind(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0
         || listen(descriptor, backlog) != 0) {
         close(descriptor);
--- a/node/fleetview.cpp
+++ b/node/fleetview.cpp
@@ -6,6 +6,7 @@
 #include "config/activeconfig.h"
 #include "core/clock.h"
 #include "node/nodesettings.h"
+#include "policy/backoff.h"
 
 #include <algorithm>
 
@@ -115,7 +116,7 @@
 void FleetView::noteFailure(const ReplicaId &replica)
 {
     Known &known = m_known[replica];
-    known.openUntil = m_clock.now() + breakerTime * (int64_t(1) << std::min(known.failures, maxBreakerDoublings));
+    known.openUntil = m_clock.now() + backoffPause(breakerTime, known.failures, maxBreakerDoublings);
     ++known.failures;
 }
 
--- a/node/replicaowner.cpp
+++ b/node/replicaowner.cpp
@@ -9,6 +9,7 @@
 #include "node/nodesettings.h"
 #include "node/quotakeeper.h"
 #include "node/worksink.h"
+#include "policy/backoff.h"
 
 #include <algorithm>
 
@@ -437,8 +438,7 @@
     m_loads.erase(adapter);
     Backoff &backoff = m_backoffs[adapter];
     ++backoff.failures;
-    const int doublings = std::min(backoff.failures - 1, maxBackoffDoublings);
-    backoff.until = m_context.clock.now() + firstBackoff * (int64_t(1) << doublings);
+    backoff.until = m_context.clock.now() + backoffPause(firstBackoff, backoff.failures - 1, maxBackoffDoublings);
     m_context.log.record(EventCode::LoadFailed, m_replica.id.text(), adapter.text() + ": " + why);
     if (backoff.failures < failuresBeforeBounce) {
         return;
--- /dev/null
+++ b/policy/backoff.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "core/units.h"
+
+namespace vanillaspar
+{
+
+/**
+ * A pause that doubles with each failure.
+ *
+ * @param first pause after no failure before.
+ * @param failures before this one.
+ * @param mostDoublings after which the pause stays.
+ */
+Millis backoffPause(Millis first, int failures, int mostDoublings);
+
+}
--- a/serving/adapterversions.h
+++ b/serving/adapterversions.h
@@ -25,10 +25,6 @@
     {
         m_grace = grace;
     }
-    const std::map<std::string, int64_t> &all() const
-    {
-        return m_newest;
-    }
 
 private:
     struct Required
--- a/serving/admission.cpp
+++ b/serving/admission.cpp
@@ -100,6 +100,15 @@
     return std::nullopt;
 }
 
+const EngineSpec *Admission::engineOf(const PoolId &id) const
+{
+    if (m_config == nullptr) {
+        return nullptr;
+    }
+    const auto pool = m_config->pools.find(id);
+    return pool == m_config->pools.end() || !pool->second.engine ? nullptr : &*pool->second.engine;
+}
+
 void Admission::giveBack(const TeamId &team, double cost, Millis now)
 {
     const auto quota = m_quotas.find(team);
--- a/serving/admission.h
+++ b/serving/admission.h
@@ -61,6 +61,8 @@
     {
         return m_quotas;
     }
+    /** @return what the engines of a pool can do; nullptr if it is no pool of engines or no longer configured. */
+    const EngineSpec *engineOf(const PoolId &pool) const;
     const ServingConfig *config() const
     {
         return m_config.get();
--- a/serving/backendtable.cpp
+++ b/serving/backendtable.cpp
@@ -2,6 +2,7 @@
 
 #include "cluster/messages/fleet.h"
 #include "core/hash.h"
+#include "policy/backoff.h"
 
 #include <algorithm>
 
@@ -28,7 +29,7 @@
     const bool isNew = state == nullptr;
     if (isNew) {
         state = std::make_unique<BackendState>();
-        state->shortId = static_cast<uint32_t>(stableHash(backend.id.text()));
+        state->shortId = shortHash(backend.id.text());
         m_byShortId[state->shortId] = state.get();
     }
     const bool isNewLife = !isNew && state->info.holdings.bornAt != backend.holdings.bornAt;
@@ -51,47 +52,33 @@
     }
 }
 
-void BackendTable::forgetGone(Millis now)
+std::vector<ReplicaId> BackendTable::forgetGone(Millis now)
 {
+    std::vector<ReplicaId> forgotten;
     for (auto entry = m_backends.begin(); entry != m_backends.end();) {
         const BackendState &state = *entry->second;
         if (state.isGone && state.ownRunning == 0 && now - state.goneAt > goneRetention) {
             m_byShortId.erase(state.shortId);
+            forgotten.push_back(entry->first);
             entry = m_backends.erase(entry);
         } else {
             ++entry;
         }
     }
+    return forgotten;
 }
 
-BackendState *BackendTable::find(const ReplicaId &id)
+BackendState *BackendTable::find(const ReplicaId &id) const
 {
     const auto entry = m_backends.find(id);
     return entry == m_backends.end() ? nullptr : entry->second.get();
 }
 
-const BackendState *BackendTable::find(const ReplicaId &id) const
-{
-    const auto entry = m_backends.find(id);
-    return entry == m_backends.end() ? nullptr : entry->second.get();
-}
-
-std::vector<BackendState *> BackendTable::usable(const PoolId &pool)
-{
-    std::vector<BackendState *> found = all(pool);
-    found.erase(std::remove_if(found.begin(), found.end(),
-                               [](const BackendState *state) {
-                                   return !state->isUsable();
-                               }),
-                found.end());
-    return found;
-}
-
-std::vector<BackendState *> BackendTable::all(const PoolId &pool)
+std::vector<BackendState *> BackendTable::usable(const PoolId &pool) const
 {
     std::vector<BackendState *> found;
     for (const auto &[id, state] : m_backends) {
-        if (state->info.pool == pool) {
+        if (state->info.pool == pool && state->isUsable()) {
             found.push_back(state.get());
         }
     }
@@ -100,7 +87,11 @@
 
 void BackendTable::setPeerUse(const HostId &host, const std::vector<ReplicaUse> &uses)
 {
-    m_peerUses[host] = uses;
+    std::vector<ReplicaUse> &known = m_peerUses[host];
+    if (known.empty() && uses.empty()) {
+        return; // a silent host is told of with every round
+    }
+    known = uses;
     sumPeers();
 }
 
@@ -176,8 +167,8 @@
     state->failureRate = state->failureRate * (1 - outcomeWeight) + outcomeWeight;
     ++state->consecutiveFailures;
     if (isUnreachable || state->consecutiveFailures > 1) {
-        const int doublings = std::min(state->consecutiveFailures - 1, mostDoublings);
-        state->avoidUntil = now + std::min(Millis(firstAvoidance.value << doublings), longestAvoidance);
+        const Millis pause = backoffPause(firstAvoidance, state->consecutiveFailures - 1, mostDoublings);
+        state->avoidUntil = now + std::min(pause, longestAvoidance);
     }
 }
 
--- a/serving/backendtable.h
+++ b/serving/backendtable.h
@@ -4,6 +4,7 @@
 #include "core/units.h"
 #include "serving/backend.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -39,6 +40,11 @@
     {
         return ownRunning + peerRunning;
     }
+    /** @return requests that run, in parts of a full batch. */
+    double slotLoad() const
+    {
+        return static_cast<double>(running()) / static_cast<double>(std::max<int64_t>(info.slots, 1));
+    }
     /** @return whether new work may be sent. */
     bool isUsable() const
     {
@@ -54,16 +60,13 @@
     bool upsert(Backend backend);
     /** The server's entry was removed: it gets no new work. */
     void remove(const ReplicaId &id, Millis now);
-    /** Forgets servers that were removed and have nothing left to answer. */
-    void forgetGone(Millis now);
+    /** Forgets servers that were removed and have nothing left to answer. @return which. */
+    std::vector<ReplicaId> forgetGone(Millis now);
 
     /** @return the server, or nullptr; also one that was removed but still answers. */
-    BackendState *find(const ReplicaId &id);
-    const BackendState *find(const ReplicaId &id) const;
+    BackendState *find(const ReplicaId &id) const;
     /** @return servers of a pool that may get work. */
-    std::vector<BackendState *> usable(const PoolId &pool);
-    /** @return servers of a pool, usable or not. */
-    std::vector<BackendState *> all(const PoolId &pool);
+    std::vector<BackendState *> usable(const PoolId &pool) const;
 
     /** Replaces what a host has reported to use. */
     void setPeerUse(const HostId &host, const std::vector<ReplicaUse> &uses);
--- a/serving/dispatcher.cpp
+++ b/serving/dispatcher.cpp
@@ -36,6 +36,39 @@
 constexpr int firstRedirect = 300;
 constexpr int firstSuccess = 200;
 
+/** @return what a replica means that has not run the request. */
+AttemptVerdict verdictOf(const AttemptHead &head, bool isEngine)
+{
+    if (head.isOtherServer) {
+        return AttemptVerdict::OtherServer;
+    }
+    return isEngine && head.isMisdirected ? AttemptVerdict::AdapterMissing : AttemptVerdict::NotRun;
+}
+
+std::unique_ptr<Flow> makeFlow(ClientRequest request, const Admitted &admitted)
+{
+    auto flow = std::make_unique<Flow>();
+    flow->request = std::move(request);
+    flow->route = admitted.route->name;
+    flow->kind = admitted.route->kind;
+    flow->isPublic = admitted.route->isPublic;
+    flow->maxReplicas = admitted.route->maxReplicas;
+    flow->priority = admitted.priority;
+    flow->pool = admitted.pool->id;
+    flow->isEngine = admitted.pool->engine.has_value();
+    if (admitted.team != nullptr) {
+        flow->team = admitted.team->id;
+    }
+    flow->cost = admitted.cost;
+    flow->tokens = flow->request.tokens.value_or(Tokens(0)).value;
+    const Millis receivedAt = flow->request.receivedAt;
+    flow->objective = std::max(admitted.route->objective, shortestWait);
+    flow->objectiveAt = receivedAt + admitted.route->objective;
+    flow->endAt = receivedAt + std::min(flow->request.patience.value_or(defaultPatience), admitted.route->timeout);
+    flow->giveUpAt = std::min(receivedAt + flow->objective * givingUpPart, flow->endAt);
+    return flow;
+}
+
 }
 
 Dispatcher::Dispatcher(DispatchContext context)
@@ -70,45 +103,27 @@
 {
     const Millis now = m_context.clock.now();
     if (!m_isAccepting) {
-        const Refusal refusal {RefusalCode::ShuttingDown, RunState::NotRun, stoppingRetry, "this host is stopping"};
-        m_context.log.onRefused(request, refusal, now);
-        m_context.callers.refuse(request.exchange, refusal);
+        reject(request, {RefusalCode::ShuttingDown, RunState::NotRun, stoppingRetry, "this host is stopping"});
         return;
     }
     const std::variant<Admitted, Refusal> decision = m_context.admission.admit(request, now);
     if (const Refusal *refusal = std::get_if<Refusal>(&decision)) {
-        m_context.log.onRefused(request, *refusal, now);
-        m_context.callers.refuse(request.exchange, *refusal);
+        reject(request, *refusal);
         return;
     }
-    const Admitted &admitted = std::get<Admitted>(decision);
-    auto owned = std::make_unique<Flow>();
+    std::unique_ptr<Flow> owned = makeFlow(std::move(request), std::get<Admitted>(decision));
     Flow &flow = *owned;
-    flow.request = std::move(request);
-    const Millis patience = flow.request.patience.value_or(defaultPatience);
-    const Millis allowed = std::min(patience, admitted.route->timeout);
-    flow.route = admitted.route->name;
-    flow.kind = admitted.route->kind;
-    flow.isPublic = admitted.route->isPublic;
-    flow.maxReplicas = admitted.route->maxReplicas;
-    flow.priority = admitted.priority;
-    flow.pool = admitted.pool->id;
-    flow.isEngine = admitted.pool->engine.has_value();
-    if (admitted.team != nullptr) {
-        flow.team = admitted.team->id;
-    }
-    flow.cost = admitted.cost;
-    flow.tokens = flow.request.tokens.value_or(Tokens(0)).value;
-    flow.objectiveAt = flow.request.receivedAt + admitted.route->objective;
-    flow.endAt = flow.request.receivedAt + allowed;
-    flow.objective = std::max(admitted.route->objective, shortestWait);
-    flow.giveUpAt = std::min(flow.request.receivedAt + flow.objective * givingUpPart, flow.endAt);
-    const uint64_t exchange = flow.request.exchange;
-    m_flows.emplace(exchange, std::move(owned));
+    m_flows.emplace(flow.request.exchange, std::move(owned));
     budgetOf(flow.pool).onRequest(now);
     settle(flow);
 }
 
+void Dispatcher::reject(const ClientRequest &request, const Refusal &refusal)
+{
+    m_context.log.onRefused(request, refusal, m_context.clock.now());
+    m_context.callers.refuse(request.exchange, refusal);
+}
+
 void Dispatcher::settle(Flow &flow)
 {
     if (place(flow) != Placement::Waits) {
@@ -122,14 +137,14 @@
                 "expected wait " + std::to_string(wait.value) + " ms"});
         return;
     }
-    queue(flow);
+    m_waiting.insert(waitingKeyOf(flow));
 }
 
 Millis Dispatcher::expectedWait(const Flow &flow)
 {
     int64_t ahead = 0;
-    for (const auto &[key, exchange] : m_waiting) {
-        if (key.first > flow.priority) {
+    for (const auto &[priority, exchange] : m_waiting) {
+        if (priority > flow.priority) {
             break;
         }
         ahead += m_flows.at(exchange)->pool == flow.pool ? 1 : 0;
@@ -147,19 +162,13 @@
     if (now < flow.retryAt) {
         return Placement::Waits;
     }
-    return flow.isEngine ? placeOnEngine(flow) : placeOnService(flow);
-}
-
-Dispatcher::Placement Dispatcher::placeOnEngine(Flow &flow)
-{
-    const auto &pools = m_context.admission.config()->pools;
-    const auto pool = pools.find(flow.pool);
-    if (pool == pools.end() || !pool->second.engine) {
+    const EngineSpec *engine = flow.isEngine ? m_context.admission.engineOf(flow.pool) : nullptr;
+    if (flow.isEngine && engine == nullptr) {
         refuse(flow, {RefusalCode::NoReplica, RunState::NotRun, noReplicaRetry, "the pool is no longer configured"});
         return Placement::Ended;
     }
-    const Millis now = m_context.clock.now();
-    const EngineChoice choice = m_context.chooser.choose(flow, *pool->second.engine, now);
+    const ReplicaChoice choice
+        = flow.isEngine ? m_context.chooser.choose(flow, *engine, now) : m_services.choose(flow, now);
     if (!choice.isPossible) {
         refuse(flow, {RefusalCode::NoReplica, RunState::NotRun, noReplicaRetry, "no replica of the pool takes work"});
         return Placement::Ended;
@@ -167,25 +176,13 @@
     if (choice.loadOn != nullptr) {
         m_wantedLoads[{choice.loadOn->info.id, flow.request.weights}] += 1;
     }
-    if (choice.backend == nullptr) {
-        return Placement::Waits;
-    }
-    send(flow, *choice.backend);
-    return Placement::Sent;
-}
-
-Dispatcher::Placement Dispatcher::placeOnService(Flow &flow)
-{
-    const ServiceChoice choice = m_services.choose(flow, m_context.clock.now());
     if (choice.backend != nullptr) {
         send(flow, *choice.backend);
         return Placement::Sent;
     }
-    if (!choice.isPossible) {
-        refuse(flow, {RefusalCode::NoReplica, RunState::NotRun, noReplicaRetry, "no replica of the pool takes work"});
-        return Placement::Ended;
+    if (!flow.isEngine) {
+        flow.avoided.clear(); // all have refused once; the next round may find room
     }
-    flow.avoided.clear(); // all have refused once; the next round may find room
     return Placement::Waits;
 }
 
@@ -195,10 +192,7 @@
     flow.attempt = m_nextAttempt++;
     flow.replica = backend.info.id;
     flow.sentAt = now;
-    flow.isRejected = false;
-    flow.isMisdirected = false;
-    flow.isOtherServer = false;
-    flow.hasFailed = false;
+    flow.verdict = AttemptVerdict::None;
     ++flow.sendCount;
     m_exchangeByAttempt[flow.attempt] = flow.request.exchange;
     flow.unread = flow.request.promptTokens.value;
@@ -207,21 +201,16 @@
                             {flow.endAt - now, flow.team, flow.priority, flow.isRepeatable()});
 }
 
-void Dispatcher::queue(Flow &flow)
+Dispatcher::WaitingKey Dispatcher::waitingKeyOf(const Flow &flow)
 {
-    m_waiting[{flow.priority, flow.request.exchange}] = flow.request.exchange;
-}
-
-void Dispatcher::leaveQueue(const Flow &flow)
-{
-    m_waiting.erase({flow.priority, flow.request.exchange});
+    return {flow.priority, flow.request.exchange};
 }
 
 void Dispatcher::sendWaiting()
 {
     const Millis now = m_context.clock.now();
     std::set<PoolId> behind;
-    for (const auto &[key, exchange] : m_waiting) {
+    for (const auto &[priority, exchange] : m_waiting) {
         const Flow &flow = *m_flows.at(exchange);
         if (now - flow.request.receivedAt > usualWait) {
             behind.insert(flow.pool);
@@ -230,24 +219,16 @@
     for (auto &[pool, estimate] : m_waitEstimates) {
         estimate.observe(behind.count(pool) > 0, now);
     }
-    std::vector<uint64_t> exchanges;
-    exchanges.reserve(m_waiting.size());
-    for (const auto &[key, exchange] : m_waiting) {
-        exchanges.push_back(exchange);
-    }
-    for (const uint64_t exchange : exchanges) {
-        const auto entry = m_flows.find(exchange);
+    // Placing a request may end others, or itself.
+    const std::vector<WaitingKey> keys(m_waiting.begin(), m_waiting.end());
+    for (const WaitingKey &key : keys) {
+        const auto entry = m_flows.find(key.second);
         if (entry == m_flows.end() || entry->second->attempt != 0) {
             continue;
         }
-        Flow &flow = *entry->second;
-        const WaitingKey key {flow.priority, flow.request.exchange};
-        const PoolId pool = flow.pool;
-        const Placement placement = place(flow);
-        if (placement != Placement::Waits) {
+        const PoolId pool = entry->second->pool;
+        if (place(*entry->second) == Placement::Sent) {
             m_waiting.erase(key);
-        }
-        if (placement == Placement::Sent) {
             m_waitEstimates[pool].onSent();
         }
     }
@@ -275,7 +256,7 @@
         refuse(flow, {RefusalCode::Overloaded, RunState::NotRun, overloadRetry, "no replica had room in time"});
         return;
     }
-    if (flow.isAnswering) {
+    if (flow.isAnswering()) {
         breakOff(flow, "the time for the answer is over");
         return;
     }
@@ -309,9 +290,7 @@
         return;
     }
     if (head.hasNotRun) {
-        flow->isRejected = true;
-        flow->isMisdirected = head.isMisdirected;
-        flow->isOtherServer = head.isOtherServer;
+        flow->verdict = verdictOf(head, flow->isEngine);
         return;
     }
     const bool isSuccess = head.head.status >= firstSuccess && head.head.status < firstRedirect;
@@ -323,10 +302,9 @@
     }
     const bool mayRepeat = flow->isRepeatable() && static_cast<int>(flow->ranOn.size()) + 1 < flow->maxReplicas;
     if (!isSuccess && head.head.status >= firstServerError && mayRepeat) {
-        flow->hasFailed = true;
+        flow->verdict = AttemptVerdict::Failed;
         return;
     }
-    flow->isAnswering = true;
     flow->answeredAt = m_context.clock.now();
     m_context.backends.onRead(flow->replica, flow->unread);
     flow->unread = 0;
@@ -336,7 +314,7 @@
 void Dispatcher::onAttemptBody(uint64_t attempt, std::string_view data)
 {
     Flow *flow = findByAttempt(attempt);
-    if (flow != nullptr && flow->isAnswering) {
+    if (flow != nullptr && flow->isAnswering()) {
         m_context.callers.append(flow->request.exchange, data);
     }
 }
@@ -353,17 +331,17 @@
         m_context.backends.onFailure(flow->replica, true, now);
         flow->avoided.insert(flow->replica);
         tryElsewhere(*flow, false, RefusalCode::NoReplica, "the replica could not be reached");
-    } else if (flow->isAnswering) {
+    } else if (flow->isAnswering()) {
         if (how == UpstreamEnd::Complete) {
             complete(*flow);
         } else {
             m_context.backends.onFailure(flow->replica, false, now);
             breakOff(*flow, "the replica broke its answer off");
         }
-    } else if (flow->isRejected) {
-        onRejected(*flow);
-    } else {
+    } else if (flow->verdict == AttemptVerdict::None || flow->verdict == AttemptVerdict::Failed) {
         onLost(*flow);
+    } else {
+        onRejected(*flow);
     }
     sendWaiting();
 }
@@ -371,13 +349,13 @@
 void Dispatcher::onRejected(Flow &flow)
 {
     const Millis now = m_context.clock.now();
-    if (flow.isOtherServer) {
+    if (flow.verdict == AttemptVerdict::OtherServer) {
         m_context.backends.onFailure(flow.replica, true, now);
         flow.avoided.insert(flow.replica);
         tryElsewhere(flow, true, RefusalCode::NoReplica, "another server has the replica's address");
         return;
     }
-    if (flow.isEngine && flow.isMisdirected) {
+    if (flow.verdict == AttemptVerdict::AdapterMissing) {
         m_context.residency.onMissing(flow.replica, flow.request.weights);
         m_missing.insert({flow.replica, flow.request.weights});
         tryElsewhere(flow, true, RefusalCode::LoadFailed, "the replica does not hold the adapter");
@@ -400,7 +378,8 @@
     flow.ranOn.insert(flow.replica);
     if (flow.isRepeatable() && static_cast<int>(flow.ranOn.size()) < flow.maxReplicas) {
         tryElsewhere(flow, true, RefusalCode::OutcomeUnknown,
-                     flow.hasFailed ? "the replica failed the request" : "the replica's answer was lost");
+                     flow.verdict == AttemptVerdict::Failed ? "the replica failed the request"
+                                                            : "the replica's answer was lost");
         return;
     }
     refuse(flow, {RefusalCode::OutcomeUnknown, RunState::Unknown, Millis(0), "the replica's answer was lost"});
@@ -436,8 +415,7 @@
     if (flow.team && refusal.runState == RunState::NotRun) {
         m_context.admission.giveBack(*flow.team, flow.cost, now);
     }
-    m_context.log.onRefused(flow.request, refusal, now);
-    m_context.callers.refuse(flow.request.exchange, refusal);
+    reject(flow.request, refusal);
     erase(flow);
 }
 
@@ -463,7 +441,7 @@
         m_context.attempts.cancel(flow.attempt);
         releaseReplica(flow);
     }
-    leaveQueue(flow);
+    m_waiting.erase(waitingKeyOf(flow));
     m_flows.erase(flow.request.exchange);
 }
 
--- a/serving/dispatcher.h
+++ b/serving/dispatcher.h
@@ -100,7 +100,7 @@
 
 private:
     using LoadPlace = std::pair<ReplicaId, std::string>; ///< A replica and an adapter.
-    using WaitingKey = std::pair<int, uint64_t>; ///< Priority, then order of arrival.
+    using WaitingKey = std::pair<int, uint64_t>; ///< Priority, then the exchange, which tells the order of arrival.
     enum class Placement
     {
         Sent,
@@ -108,15 +108,14 @@
         Ended, ///< It was refused.
     };
 
+    /** Refuses a request that is no flow yet. */
+    void reject(const ClientRequest &request, const Refusal &refusal);
     Placement place(Flow &flow);
-    Placement placeOnEngine(Flow &flow);
-    Placement placeOnService(Flow &flow);
     void send(Flow &flow, BackendState &backend);
     void settle(Flow &flow);
     /** @return how long a request that joins the queue now would wait. */
     Millis expectedWait(const Flow &flow);
-    void queue(Flow &flow);
-    void leaveQueue(const Flow &flow);
+    static WaitingKey waitingKeyOf(const Flow &flow);
     void tryElsewhere(Flow &flow, bool countsAsRepeat, RefusalCode code, const std::string &why);
     void onRejected(Flow &flow);
     void onLost(Flow &flow);
@@ -136,7 +135,7 @@
     ServiceChooser m_services;
     std::map<uint64_t, std::unique_ptr<Flow>> m_flows; ///< By exchange.
     std::unordered_map<uint64_t, uint64_t> m_exchangeByAttempt;
-    std::map<WaitingKey, uint64_t> m_waiting; ///< Exchanges; the next to be sent first.
+    std::set<WaitingKey> m_waiting; ///< The next to be sent first.
     std::map<PoolId, RetryBudget> m_budgets;
     std::map<PoolId, WaitEstimate> m_waitEstimates;
     std::map<LoadPlace, int64_t> m_wantedLoads; ///< With the requests that need them.
--- a/serving/enginechooser.h
+++ b/serving/enginechooser.h
@@ -2,16 +2,13 @@
 
 #include "core/ids.h"
 #include "core/units.h"
+#include "serving/replicachoice.h"
 
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <vector>
 
-namespace vanillaspar
-{
-struct AdapterAsk;
-}
-
 namespace vanillaspar::serving
 {
 
@@ -22,14 +19,6 @@
 struct EngineSpec;
 struct Flow;
 
-/** Where a request for an adapter can go now. */
-struct EngineChoice
-{
-    BackendState *backend = nullptr; ///< Send it there; nullptr if no replica that holds the adapter has room.
-    BackendState *loadOn = nullptr; ///< Ask for the adapter there; nullptr if that would not help.
-    bool isPossible = true; ///< Whether any replica of the pool may get work at all.
-};
-
 /**
  * Chooses an engine for a request and where an adapter that is missing should be loaded.
  *
@@ -46,13 +35,26 @@
     EngineChooser(BackendTable &backends, ResidencyMap &residency, const AdapterVersions &versions, DomainId domain,
                   CanOrder canOrder);
 
-    EngineChoice choose(const Flow &flow, const EngineSpec &engine, Millis now);
-    /** @return a replica's load, 1 when its batch or its memory is full. */
-    static double loadOf(const BackendState &state, const EngineSpec *engine);
+    ReplicaChoice choose(const Flow &flow, const EngineSpec &engine, Millis now);
 
 private:
-    std::vector<BackendState *> homes(const std::string &weights, std::vector<BackendState *> usable) const;
-    double score(const BackendState &state, const EngineSpec &engine, Millis now) const;
+    /** The replicas that hold an adapter. */
+    struct Holders
+    {
+        BackendState *best = nullptr; ///< The one to send to; nullptr if none has room.
+        double leastLoad; ///< Of those that aren't avoided.
+        bool isOneComing = false; ///< Whether the adapter is being loaded somewhere.
+    };
+
+    Holders lookAtHolders(const Flow &flow, const std::vector<BackendState *> &usable, const EngineSpec &engine,
+                          Millis now) const;
+    /** @param isUrgent whether a full home is better than none. @return where to load the adapter, or nullptr. */
+    BackendState *nextHome(const std::string &weights, const std::vector<BackendState *> &usable,
+                           const EngineSpec &engine, bool isUrgent, Millis now) const;
+    /** @return the replicas that can load the adapter, the first home first. */
+    std::vector<BackendState *> homes(const std::string &weights, const std::vector<BackendState *> &usable) const;
+    /** @return a replica's load, 1 when its batch, its memory or what it has to read is full. */
+    static double loadOf(const BackendState &state, const EngineSpec &engine);
 
     BackendTable &m_backends;
     ResidencyMap &m_residency;
--- a/serving/fleetmembers.cpp
+++ b/serving/fleetmembers.cpp
@@ -32,11 +32,6 @@
     return recordPrefix + host.text();
 }
 
-std::string FleetMembers::ownRecordName() const
-{
-    return recordName(m_settings.host);
-}
-
 bool FleetMembers::isHostRecord(const std::string &name)
 {
     return name.rfind(recordPrefix, 0) == 0;
@@ -115,28 +110,21 @@
         return false;
     }
     const auto entry = m_peers.find(host);
-    if (entry == m_peers.end()) {
-        return true;
-    }
-    const Millis since = std::max(entry->second.heardAt, entry->second.knownSince);
-    return now - since > lostLimit;
+    return entry == m_peers.end() || now - entry->second.lastSign() > lostLimit;
 }
 
 std::vector<std::string> FleetMembers::callerAddresses(bool isReady, Millis now) const
 {
-    std::vector<std::string> best;
+    std::vector<std::string> addresses;
     for (const auto &[host, member] : m_peers) {
-        if (!isLive(host, now) || member.beat.isStopping) {
-            continue;
-        }
-        if (member.beat.isReady) {
-            best.push_back(member.callerAddress);
+        if (isLive(host, now) && member.beat.isReady && !member.beat.isStopping) {
+            addresses.push_back(member.callerAddress);
         }
     }
     if (isReady) {
-        best.push_back(m_settings.callerAddress);
+        addresses.push_back(m_settings.callerAddress);
     }
-    return best;
+    return addresses;
 }
 
 bool FleetMembers::isFirst(Millis now) const
--- a/serving/fleetmembers.h
+++ b/serving/fleetmembers.h
@@ -4,7 +4,8 @@
 #include "core/ids.h"
 #include "core/units.h"
 
-#include <deque>
+#include <algorithm>
+#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
@@ -25,6 +26,12 @@
     Millis knownSince; ///< When its record was first seen.
     Millis heardAt {-1}; ///< When its last beat came.
     HostBeat beat; ///< The last one.
+
+    /** @return when the host was heard last, or first known of if it never was. */
+    Millis lastSign() const
+    {
+        return std::max(heardAt, knownSince);
+    }
 };
 
 /** The hosts of the system: who is there by the store's records, and who lives by their beats. */
@@ -35,8 +42,6 @@
 
     /** @return the name of a host's record. */
     static std::string recordName(const HostId &host);
-    /** @return the name of this host's own record. */
-    std::string ownRecordName() const;
     static bool isHostRecord(const std::string &name);
     /** Follows a host's record. @throws DecodeError if it can't be read. */
     void onRecord(const StoredRecord &record, Millis now);
@@ -56,6 +61,11 @@
     {
         return m_peers;
     }
+    /** @return all hosts that are known, this one included. */
+    int64_t hostCount() const
+    {
+        return static_cast<int64_t>(m_peers.size()) + 1;
+    }
     /** @return whether a beat came lately. */
     bool isLive(const HostId &host, Millis now) const;
     /** @return whether no beat has come for so long that the host counts as lost. */
--- a/serving/flow.h
+++ b/serving/flow.h
@@ -12,6 +12,16 @@
 namespace vanillaspar::serving
 {
 
+/** What a replica has said of the present attempt. */
+enum class AttemptVerdict
+{
+    None, ///< Nothing yet, or the start of an answer.
+    NotRun, ///< It did not run the request.
+    AdapterMissing, ///< It did not, since the adapter isn't there.
+    OtherServer, ///< It did not, since it is another server at the replica's address.
+    Failed, ///< It ran the request and failed, and the request may be repeated elsewhere.
+};
+
 /** A request between its admission and its end. */
 struct Flow
 {
@@ -35,17 +45,18 @@
     uint64_t attempt = 0; ///< 0 while it waits.
     ReplicaId replica; ///< Where the attempt is.
     Millis sentAt;
-    Millis answeredAt {-1}; ///< When the start of the answer was passed on.
-    bool isAnswering = false; ///< Whether the answer's start was passed on.
-    bool isRejected = false; ///< Whether the replica said that it has not run it.
-    bool isMisdirected = false; ///< The adapter isn't there, or another server has the address.
-    bool isOtherServer = false;
-    bool hasFailed = false; ///< Whether the replica answered with a failure that may be repeated elsewhere.
+    Millis answeredAt {-1}; ///< When the start of the answer was passed on; negative before.
+    AttemptVerdict verdict = AttemptVerdict::None;
     int sendCount = 0;
     std::set<ReplicaId> ranOn; ///< Replicas that it may have run on.
     std::set<ReplicaId> avoided; ///< Replicas that could not take it.
     Millis retryAt {0}; ///< Not to be sent before.
 
+    /** @return whether the answer's start was passed on. */
+    bool isAnswering() const
+    {
+        return answeredAt.value >= 0;
+    }
     /** @return whether an earlier attempt may have run. */
     bool mayHaveRun() const
     {
--- /dev/null
+++ b/serving/hostregistry.cpp
@@ -0,0 +1,78 @@
+#include "serving/hostregistry.h"
+
+#include "core/clock.h"
+#include "core/eventlog.h"
+#include "serving/fleetmembers.h"
+#include "serving/recordmirror.h"
+#include "serving/servingsettings.h"
+#include "serving/statestore.h"
+
+#include <nlohmann/json.hpp>
+
+namespace vanillaspar::serving
+{
+
+namespace
+{
+
+constexpr Millis retryWrite(500);
+// A host that is gone for good withholds its even part of every quota until its record is removed; one that was only
+// cut off writes it again.
+constexpr Millis recordRetention(15000);
+
+}
+
+HostRegistry::HostRegistry(const ServingSettings &settings, const Clock &clock, StateStore &store, EventLog &log,
+                           const FleetMembers &members, RecordMirror &coordination)
+    : m_settings(settings), m_clock(clock), m_store(store), m_log(log), m_members(members), m_coordination(coordination)
+{
+}
+
+void HostRegistry::tick()
+{
+    const Millis now = m_clock.now();
+    const std::string name = FleetMembers::recordName(m_settings.host);
+    const auto known = m_coordination.records().find(name);
+    const bool isKnown = known != m_coordination.records().end();
+    if (m_isInMirror && !isKnown) {
+        m_isRegistered = false; // the others removed it while this host was cut off
+    }
+    m_isInMirror = isKnown;
+    if (m_isRegistered || m_isWriting || !m_coordination.isLoaded() || now < m_nextWriteAt) {
+        return;
+    }
+    const nlohmann::json content {
+        {"domain", m_settings.domain.text()}, {"peer", m_settings.peerAddress}, {"caller", m_settings.callerAddress}};
+    if (isKnown && known->second.content == content) {
+        m_isRegistered = true;
+        return;
+    }
+    m_isWriting = true;
+    m_store.write(Collection::Coordination, name, content, isKnown ? known->second.revision : 0,
+                  [this](StoreResult result) {
+                      m_isWriting = false;
+                      m_isRegistered = result == StoreResult::Done;
+                      m_nextWriteAt = m_clock.now() + retryWrite;
+                      if (!m_isRegistered) {
+                          m_coordination.refresh();
+                      }
+                  });
+}
+
+void HostRegistry::removeLost()
+{
+    const Millis now = m_clock.now();
+    for (const auto &[host, member] : m_members.peers()) {
+        const auto record = m_coordination.records().find(FleetMembers::recordName(host));
+        if (record == m_coordination.records().end() || now - member.lastSign() < recordRetention) {
+            continue;
+        }
+        m_log.record(EventCode::PeerRemoved, host.text(), "silent for long; its record is removed");
+        m_store.remove(Collection::Coordination, record->first, record->second.revision, [this](StoreResult) {
+            m_coordination.refresh();
+        });
+        return; // one at a time; the next round takes the next
+    }
+}
+
+}
--- a/serving/loadcoordinator.cpp
+++ b/serving/loadcoordinator.cpp
@@ -34,7 +34,6 @@
 // A host orders for so long on its last proof that it is a replica's owner; it covers the usual outages of the store.
 constexpr Millis orderHold(7000);
 constexpr Millis takeoverMargin(300);
-constexpr double millisPerSecond = 1000;
 
 }
 
@@ -174,23 +173,24 @@
 void LoadCoordinator::stepReplica(const ReplicaId &replica)
 {
     const Millis now = m_context.clock.now();
-    const ServingConfig *config = m_context.admission.config();
     const OwnerEntry *entry = m_owners.find(replica);
     const BackendState *state = m_context.backends.find(replica);
-    if (config == nullptr || state == nullptr || !mayOrder(replica) || !state->isUsable() || now < state->avoidUntil) {
+    if (state == nullptr || !mayOrder(replica) || !state->isUsable() || now < state->avoidUntil) {
         return;
     }
-    const auto pool = config->pools.find(state->info.pool);
-    if (pool == config->pools.end() || !pool->second.engine) {
+    const EngineSpec *engine = m_context.admission.engineOf(state->info.pool);
+    if (engine == nullptr) {
         return;
     }
-    const EngineSpec &engine = *pool->second.engine;
-    const FleetLoads loads = fleetLoads();
     ReplicaOrders &orders = openOrders(replica, *entry);
-    orders.setFleetLoads(loads.adapters);
-    const OrderTerms terms {state->info,         engine,
+    if (!orders.isDue(now)) {
+        return;
+    }
+    const FleetLoads loads = fleetLoads();
+    const OrderTerms terms {state->info,         *engine,
                             m_context.versions,  m_context.settings.host,
-                            Epoch(entry->fence), mayLoadModel(engine.loadsPerSecond, loads.models)};
+                            Epoch(entry->fence), mayLoadModel(engine->loadsPerSecond, loads.models),
+                            loads.adapters};
     if (orders.step(terms, now)) {
         m_modelLoadAt = now;
     }
@@ -200,8 +200,8 @@
 {
     // Every host keeps to its even part of the weight store's rate.
     const double rate = loadsPerSecond * modelLoadPart;
-    const auto hosts = static_cast<double>(m_context.members.peers().size() + 1);
-    const Millis spacing(rate > 0 ? static_cast<int64_t>(hosts * millisPerSecond / rate) : 0);
+    const auto hosts = static_cast<double>(m_context.members.hostCount());
+    const Millis spacing = rate > 0 ? fromSeconds(hosts / rate) : Millis(0);
     return fleetModelLoads < fullSpeedModelLoads && m_context.clock.now() - m_modelLoadAt >= spacing;
 }
 
@@ -238,15 +238,17 @@
 void LoadCoordinator::tellNews()
 {
     const Millis now = m_context.clock.now();
+    std::vector<std::string> addresses;
+    for (const auto &[host, member] : m_context.members.peers()) {
+        addresses.push_back(member.peerAddress);
+    }
     for (const auto &[replica, orders] : m_orders) {
         const std::optional<ResidencyNews> news = orders->takeNews(m_context.backends.find(replica)->info, now);
         if (!news) {
             continue;
         }
         m_context.residency.onNews(m_context.settings.host, *news, now);
-        for (const auto &[host, member] : m_context.members.peers()) {
-            m_context.peers.send(member.peerAddress, *news);
-        }
+        m_context.peers.sendAll(addresses, *news);
     }
 }
 
@@ -350,10 +352,10 @@
     m_isAssigning = true;
     const auto known = m_context.coordination.records().find(ownersRecord);
     const int64_t revision = known == m_context.coordination.records().end() ? 0 : known->second.revision;
-    m_context.store.write(Collection::Coordination, ownersRecord, next.toJson(), revision, [this](StoreWrite write) {
+    m_context.store.write(Collection::Coordination, ownersRecord, next.toJson(), revision, [this](StoreResult result) {
         m_isAssigning = false;
         m_context.log.record(EventCode::OwnersAssigned, m_context.settings.host.text(),
-                             "result " + std::to_string(static_cast<int>(write.result)));
+                             "result " + std::to_string(static_cast<int>(result)));
         m_context.coordination.refresh();
     });
 }
--- a/serving/recordmirror.cpp
+++ b/serving/recordmirror.cpp
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 #include "core/eventlog.h"
 #include "core/random.h"
+#include "policy/backoff.h"
 
 #include <algorithm>
 
@@ -199,9 +200,8 @@
         m_log.record(EventCode::PlatformUnreachable, nameOf(m_collection),
                      result == StoreResult::Unknown ? "a call was not answered" : "a call was refused");
     }
-    const int doublings = std::min(m_failures, mostDoublings);
+    const Millis pause = std::min(backoffPause(firstPause, m_failures, mostDoublings), longestPause);
     ++m_failures;
-    const Millis pause = std::min(Millis(firstPause.value << doublings), longestPause);
     m_nextAt
         = m_clock.now() + pause / 2 + Millis(static_cast<int64_t>(m_random.below(static_cast<uint64_t>(pause.value))));
 }
--- /dev/null
+++ b/serving/replicachoice.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "core/ids.h"
+#include "core/units.h"
+
+namespace vanillaspar::serving
+{
+
+struct BackendState;
+
+/** Where a request can go now. */
+struct ReplicaChoice
+{
+    BackendState *backend = nullptr; ///< Send it there; nullptr if no replica that could run it has room.
+    BackendState *loadOn = nullptr; ///< Ask for its adapter there; nullptr if that would not help.
+    bool isPossible = true; ///< Whether any replica of the pool may get work at all.
+};
+
+/** What makes a replica a worse choice than its load says, in parts of a full replica. */
+struct ReplicaPenalties
+{
+    double far = 0; ///< It is in another failure domain; bytes between them are priced.
+    double failure = 0; ///< For each part of its requests that it fails.
+    double avoid = 0; ///< It is being avoided.
+
+    /** @return the load with the penalties of a replica, seen from @p own domain. */
+    double score(double load, const BackendState &state, const DomainId &own, Millis now) const;
+};
+
+}
--- a/serving/replicaorders.cpp
+++ b/serving/replicaorders.cpp
@@ -2,6 +2,7 @@
 
 #include "core/eventlog.h"
 #include "serving/adapterversions.h"
+#include "serving/weights.h"
 
 #include <algorithm>
 
@@ -31,11 +32,6 @@
 // A base model is looked for in reports from its load time on; they lag, but not all by the same.
 constexpr Millis modelReportLag(150);
 
-std::string modelOf(const std::string &weights)
-{
-    return weights.substr(0, weights.find('/'));
-}
-
 }
 
 ReplicaOrders::ReplicaOrders(ReplicaId replica, OrderPort &port, EventLog &log, uint64_t firstSequence,
@@ -109,9 +105,14 @@
     });
 }
 
+bool ReplicaOrders::isDue(Millis now) const
+{
+    return !m_isBusy && now >= m_nextAt;
+}
+
 bool ReplicaOrders::step(const OrderTerms &terms, Millis now)
 {
-    if (m_isBusy || now < m_nextAt) {
+    if (!isDue(now)) {
         return false;
     }
     if (!m_count) {
@@ -150,21 +151,14 @@
         return false;
     }
     const ModelSpec &model = terms.engine.models.front();
-    m_isBusy = true;
-    const std::weak_ptr<bool> life = m_life;
     const Millis loadTime = model.loadTime;
-    m_port.order(terms.backend, {true, model.name, terms.host, terms.fence, m_count},
-                 [this, life, now, loadTime](OrderResult result) {
-                     if (life.expired()) {
-                         return;
-                     }
-                     m_isBusy = false;
-                     if (noteResult(result, now) && result == OrderResult::Accepted) {
-                         m_isLoadingModel = true;
-                         m_count.reset();
-                         m_nextAt = now + loadTime + modelReportLag;
-                     }
-                 });
+    sendOrder(terms, true, model.name, [this, now, loadTime](OrderResult result) {
+        if (noteResult(result, now) && result == OrderResult::Accepted) {
+            m_isLoadingModel = true;
+            m_count.reset();
+            m_nextAt = now + loadTime + modelReportLag;
+        }
+    });
     m_log.record(EventCode::ModelOrdered, m_replica.text(), "load " + model.name);
     return true;
 }
@@ -195,7 +189,7 @@
         const bool hasModel = std::find(m_models.begin(), m_models.end(), modelOf(entry->first)) != m_models.end();
         const bool isBetter = best == nullptr || want.waiting > best->waiting
             || (want.waiting == best->waiting && want.since < best->since);
-        if (hasModel && entry->first.find('/') != std::string::npos && isBetter) {
+        if (hasModel && !adapterOf(entry->first).empty() && isBetter) {
             chosen = &entry->first;
             best = &want;
         }
@@ -219,23 +213,39 @@
     return victim;
 }
 
-void ReplicaOrders::orderLoad(const OrderTerms &terms, const std::string &weights, Millis now)
+void ReplicaOrders::sendOrder(const OrderTerms &terms, bool isLoad, const std::string &weights,
+                              std::function<void(OrderResult)> handler)
+{
+    m_port.order(terms.backend, {isLoad, weights, terms.host, terms.fence, m_count},
+                 whileBusy<OrderResult>(std::move(handler)));
+}
+
+template<class Answer>
+std::function<void(Answer)> ReplicaOrders::whileBusy(std::function<void(Answer)> handler)
 {
     m_isBusy = true;
     const std::weak_ptr<bool> life = m_life;
+    return [this, life, handler = std::move(handler)](Answer answer) {
+        if (!life.expired()) {
+            m_isBusy = false;
+            handler(answer);
+        }
+    };
+}
+
+void ReplicaOrders::orderLoad(const OrderTerms &terms, const std::string &weights, Millis now)
+{
     const int64_t version = terms.versions.newest(weights);
-    m_port.order(terms.backend, {true, weights, terms.host, terms.fence, m_count},
-                 [this, life, weights, version, now](OrderResult result) {
-                     if (!life.expired()) {
-                         onLoadResult(result, weights, version, now);
-                         m_onIdle();
-                     }
-                 });
+    const int64_t crowd = terms.fleetLoads;
+    sendOrder(terms, true, weights, [this, weights, version, crowd, now](OrderResult result) {
+        onLoadResult(result, weights, version, crowd, now);
+        m_onIdle();
+    });
 }
 
-void ReplicaOrders::onLoadResult(OrderResult result, const std::string &weights, int64_t version, Millis now)
+void ReplicaOrders::onLoadResult(OrderResult result, const std::string &weights, int64_t version, int64_t crowd,
+                                 Millis now)
 {
-    m_isBusy = false;
     if (!noteResult(result, now)) {
         return;
     }
@@ -243,7 +253,6 @@
     Place place {version, now, now, false, false};
     if (result == OrderResult::Accepted) {
         place.isSlow = isReplacement || !isRemembered(weights);
-        const int64_t crowd = std::max<int64_t>(m_fleetLoads, 1);
         const Millis slow = crowd > fullSpeedLoads ? Millis(slowLoadTime.value * crowd / fullSpeedLoads) : slowLoadTime;
         place.readyAt = now + (place.isSlow ? slow : fastLoadTime);
     }
@@ -258,22 +267,16 @@
 
 void ReplicaOrders::orderUnload(const OrderTerms &terms, const std::string &weights, Millis now)
 {
-    m_isBusy = true;
-    const std::weak_ptr<bool> life = m_life;
     m_places[weights].isLeaving = true; // nobody is sent to it while the order is under way
     m_hasNews = true;
-    m_port.order(terms.backend, {false, weights, terms.host, terms.fence, m_count},
-                 [this, life, weights, now](OrderResult result) {
-                     if (!life.expired()) {
-                         onUnloadResult(result, weights, now);
-                         m_onIdle();
-                     }
-                 });
+    sendOrder(terms, false, weights, [this, weights, now](OrderResult result) {
+        onUnloadResult(result, weights, now);
+        m_onIdle();
+    });
 }
 
 void ReplicaOrders::onUnloadResult(OrderResult result, const std::string &weights, Millis now)
 {
-    m_isBusy = false;
     m_hasNews = true;
     if (!noteResult(result, now)) {
         return;
@@ -317,14 +320,10 @@
 
 void ReplicaOrders::askReport(const OrderTerms &terms, Millis now)
 {
-    m_isBusy = true;
-    const std::weak_ptr<bool> life = m_life;
-    m_port.report(terms.backend, [this, life, now](const std::optional<Holdings> &holdings) {
-        if (!life.expired()) {
-            m_isBusy = false;
-            onReport(holdings, now);
-        }
-    });
+    m_port.report(terms.backend,
+                  whileBusy<std::optional<Holdings>>([this, now](const std::optional<Holdings> &holdings) {
+                      onReport(holdings, now);
+                  }));
 }
 
 void ReplicaOrders::onReport(const std::optional<Holdings> &holdings, Millis now)
--- a/serving/replicaorders.h
+++ b/serving/replicaorders.h
@@ -34,6 +34,7 @@
     HostId host;
     Epoch fence;
     bool mayLoadModel = false; ///< Whether the weight store's rate has room for a base model.
+    int64_t fleetLoads = 0; ///< Adapters on their way from the weight store to any replica, as far as is known.
 };
 
 /**
@@ -58,6 +59,8 @@
     void onAsk(const AdapterAsk &ask, Millis now);
     /** A host tells what it uses here. */
     void onUse(const HostId &host, const AdapterUseReport &report, Millis now);
+    /** @return whether nothing is under way and no pause has to pass, so that step() may do something. */
+    bool isDue(Millis now) const;
     /** Sends the next order, if one is due. @return whether a base model was ordered. */
     bool step(const OrderTerms &terms, Millis now);
 
@@ -70,11 +73,6 @@
     {
         return m_isLoadingModel;
     }
-    /** Says how many slow loads are on their way in the whole fleet, as far as is known. */
-    void setFleetLoads(int64_t loads)
-    {
-        m_fleetLoads = loads;
-    }
 
 private:
     struct Place
@@ -99,12 +97,17 @@
         Millis at;
     };
 
+    void sendOrder(const OrderTerms &terms, bool isLoad, const std::string &weights,
+                   std::function<void(OrderResult)> handler);
+    /** Marks a call as under way. @return the handler, which is dropped if this life ends before the answer. */
+    template<class Answer>
+    std::function<void(Answer)> whileBusy(std::function<void(Answer)> handler);
     void askReport(const OrderTerms &terms, Millis now);
     void onReport(const std::optional<Holdings> &holdings, Millis now);
     bool orderModel(const OrderTerms &terms, Millis now);
     void orderLoad(const OrderTerms &terms, const std::string &weights, Millis now);
     void orderUnload(const OrderTerms &terms, const std::string &weights, Millis now);
-    void onLoadResult(OrderResult result, const std::string &weights, int64_t version, Millis now);
+    void onLoadResult(OrderResult result, const std::string &weights, int64_t version, int64_t crowd, Millis now);
     void onUnloadResult(OrderResult result, const std::string &weights, Millis now);
     /** @return whether the result leaves the replica's state known. */
     bool noteResult(OrderResult result, Millis now);
@@ -133,7 +136,6 @@
     bool m_hasNews = false;
     Millis m_newsAt {-1};
     Millis m_nextAt {0};
-    int64_t m_fleetLoads = 0;
 };
 
 }
--- a/serving/servicechooser.cpp
+++ b/serving/servicechooser.cpp
@@ -1,7 +1,6 @@
 #include "serving/servicechooser.h"
 
 #include "serving/backendtable.h"
-#include "serving/enginechooser.h"
 #include "serving/flow.h"
 
 namespace vanillaspar::serving
@@ -12,9 +11,8 @@
 
 // A plain service queues a few requests itself; beyond that they wait here, where they can still go elsewhere.
 constexpr double serviceQueue = 2.0; // requests for each slot
-constexpr double farPenalty = 0.1; // bytes between failure domains are priced
-constexpr double failurePenalty = 2.0; // a replica that fails a tenth of its requests counts as a fifth fuller
-constexpr double avoidPenalty = 100.0; // only if there is no other
+// A failing replica counts as for engines; one that is avoided is taken only if there is no other.
+constexpr ReplicaPenalties penalties {0.1, 2.0, 100.0};
 
 }
 
@@ -23,9 +21,9 @@
 {
 }
 
-ServiceChoice ServiceChooser::choose(const Flow &flow, Millis now)
+ReplicaChoice ServiceChooser::choose(const Flow &flow, Millis now)
 {
-    ServiceChoice choice;
+    ReplicaChoice choice;
     choice.isPossible = false;
     double best = 0;
     for (BackendState *state : m_backends.usable(flow.pool)) {
@@ -33,12 +31,11 @@
             continue;
         }
         choice.isPossible = true;
-        const double load = EngineChooser::loadOf(*state, nullptr);
+        const double load = state->slotLoad();
         if (load >= 1 + serviceQueue || flow.avoided.count(state->info.id) > 0) {
             continue;
         }
-        const double value = load + state->failureRate * failurePenalty
-            + (state->info.domain == m_domain ? 0 : farPenalty) + (now < state->avoidUntil ? avoidPenalty : 0);
+        const double value = penalties.score(load, *state, m_domain, now);
         if (choice.backend == nullptr || value < best) {
             choice.backend = state;
             best = value;
--- a/serving/servingconfig.h
+++ b/serving/servingconfig.h
@@ -2,6 +2,7 @@
 
 #include "core/ids.h"
 #include "core/units.h"
+#include "net/ingresslimits.h"
 
 #include <cstdint>
 #include <map>
@@ -83,15 +84,6 @@
     double plainTokens = 0; ///< What a request without a token count costs.
 };
 
-/** What a caller may send. */
-struct CallerLimits
-{
-    int64_t headBytes = 16384;
-    int64_t bodyBytes = 4194304;
-    Millis headTimeout {3000};
-    Millis idleTimeout {15000};
-};
-
 /** One accepted configuration, whole. */
 struct ServingConfig
 {
@@ -100,7 +92,7 @@
     std::map<PoolId, Pool> pools;
     std::vector<Team> teams;
     std::unordered_map<std::string, size_t> teamByKey; ///< Index into teams, by the caller's key.
-    CallerLimits limits;
+    IngressLimits limits;
 
     /** @return whether callers need keys. */
     bool hasTeams() const
--- a/serving/servingnode.cpp
+++ b/serving/servingnode.cpp
@@ -37,10 +37,6 @@
 
 constexpr Millis beatInterval(100);
 constexpr Millis useInterval(200);
-// A host that is gone for good withholds its even part of every quota until its record is removed; one that was only
-// cut off writes it again.
-constexpr Millis recordRetention(15000);
-constexpr Millis retryWrite(500);
 constexpr Millis assignInterval(500);
 // All hosts of a first start are there by then, so that replicas are shared out evenly at once.
 constexpr Millis firstAssignment(2000);
@@ -52,11 +48,6 @@
 constexpr Millis drainRefusing(2500); // before the end of the grace
 constexpr Millis drainEnd(400); // before the end of the grace
 
-uint32_t shortHash(const std::string &text)
-{
-    return static_cast<uint32_t>(stableHash(text));
-}
-
 Incarnation drawIncarnation(Random &random)
 {
     return Incarnation(std::to_string(random.next()));
@@ -128,6 +119,7 @@
                      })
     , m_loads({m_settings, m_ports.clock, m_ports.store, m_ports.peers, m_ports.orders, m_ports.log, m_admission,
                m_members, m_backends, m_residency, m_versions, m_coordination})
+    , m_registry(m_settings, m_ports.clock, m_ports.store, m_ports.log, m_members, m_coordination)
     , m_startedAt(m_ports.clock.now())
 {
     setSettings(m_settings);
@@ -219,7 +211,9 @@
             ++entry;
         }
     }
-    m_backends.forgetGone(now);
+    for (const ReplicaId &replica : m_backends.forgetGone(now)) {
+        m_residency.remove(replica);
+    }
 }
 
 void ServingNode::onVersions(const std::vector<StoredRecord> &records)
@@ -313,7 +307,7 @@
     m_coordination.tick();
     followTrust();
     removeLapsed();
-    writeOwnRecord();
+    m_registry.tick();
     if (now - m_beatAt >= beatInterval) {
         m_beatAt = now;
         sendBeats();
@@ -322,7 +316,7 @@
         m_assignAt = now;
         if (mayAssignOwners()) {
             m_loads.assignOwners();
-            removeLostHosts();
+            m_registry.removeLost();
         }
     }
     m_dispatcher.tick();
@@ -370,6 +364,7 @@
     const Millis now = m_ports.clock.now();
     HostBeat beat = makeBeat();
     beat.sequence = m_members.beginRound(now);
+    const int64_t hosts = m_members.hostCount();
     int64_t silent = 0;
     std::string live = m_settings.host.text();
     for (const auto &[host, member] : m_members.peers()) {
@@ -383,9 +378,8 @@
         }
     }
     for (auto &[team, quota] : m_admission.quotas()) {
-        quota.setHosts(static_cast<int64_t>(m_members.peers().size()) + 1, silent, now);
+        quota.setHosts(hosts, silent, now);
     }
-    const int64_t hosts = static_cast<int64_t>(m_members.peers().size()) + 1;
     // Nine tenths of the bound: what is on its way at a window's edges counts in both.
     constexpr double safety = 0.9;
     m_dispatcher.setRetryBounds(m_settings.retryRatio * safety,
@@ -403,58 +397,12 @@
     m_loads.sendAsks(m_dispatcher);
 }
 
-void ServingNode::writeOwnRecord()
-{
-    const Millis now = m_ports.clock.now();
-    const auto known = m_coordination.records().find(m_members.ownRecordName());
-    const bool isKnown = known != m_coordination.records().end();
-    if (m_hasSeenRecord && !isKnown) {
-        m_hasOwnRecord = false; // the others removed it while this host was cut off
-    }
-    m_hasSeenRecord = isKnown;
-    if (m_hasOwnRecord || m_isWritingRecord || !m_coordination.isLoaded() || now < m_recordAt) {
-        return;
-    }
-    const nlohmann::json content {
-        {"domain", m_settings.domain.text()}, {"peer", m_settings.peerAddress}, {"caller", m_settings.callerAddress}};
-    if (isKnown && known->second.content == content) {
-        m_hasOwnRecord = true;
-        return;
-    }
-    m_isWritingRecord = true;
-    m_ports.store.write(Collection::Coordination, m_members.ownRecordName(), content,
-                        isKnown ? known->second.revision : 0, [this](StoreWrite write) {
-                            m_isWritingRecord = false;
-                            m_hasOwnRecord = write.result == StoreResult::Done;
-                            m_recordAt = m_ports.clock.now() + retryWrite;
-                            if (!m_hasOwnRecord) {
-                                m_coordination.refresh();
-                            }
-                        });
-}
-
-void ServingNode::removeLostHosts()
-{
-    const Millis now = m_ports.clock.now();
-    for (const auto &[host, member] : m_members.peers()) {
-        const auto record = m_coordination.records().find(FleetMembers::recordName(host));
-        if (record == m_coordination.records().end() || !m_members.isLost(host, now)
-            || now - std::max(member.heardAt, member.knownSince) < recordRetention) {
-            continue;
-        }
-        m_ports.log.record(EventCode::PeerRemoved, host.text(), "silent for long; its record is removed");
-        m_ports.store.remove(Collection::Coordination, record->first, record->second.revision, [this](StoreWrite) {
-            m_coordination.refresh();
-        });
-        return; // one at a time; the next round takes the next
-    }
-}
-
 bool ServingNode::mayAssignOwners() const
 {
     const Millis now = m_ports.clock.now();
-    return m_coordination.isLoaded() && m_coordination.isReachable() && m_hasOwnRecord && m_backendRecords.isLoaded()
-        && now - m_startedAt >= firstAssignment && m_drainStartedAt.value < 0 && m_members.isFirst(now);
+    return m_coordination.isLoaded() && m_coordination.isReachable() && m_registry.isRegistered()
+        && m_backendRecords.isLoaded() && now - m_startedAt >= firstAssignment && m_drainStartedAt.value < 0
+        && m_members.isFirst(now);
 }
 
 void ServingNode::beginDrain()
@@ -496,8 +444,7 @@
 {
     const Millis now = m_ports.clock.now();
     const auto ageOf = [now](Millis provenAt) {
-        constexpr double millisPerSecond = 1000;
-        return provenAt.value < 0 ? -1 : static_cast<double>((now - provenAt).value) / millisPerSecond;
+        return provenAt.value < 0 ? -1 : toSeconds(now - provenAt);
     };
     return {{"vanillaspar_open_requests", static_cast<double>(m_dispatcher.openCount())},
             {"vanillaspar_waiting_requests", static_cast<double>(m_dispatcher.waitingCount())},
--- a/serving/servingnode.h
+++ b/serving/servingnode.h
@@ -10,6 +10,7 @@
 #include "serving/dispatcher.h"
 #include "serving/enginechooser.h"
 #include "serving/fleetmembers.h"
+#include "serving/hostregistry.h"
 #include "serving/loadcoordinator.h"
 #include "serving/recordmirror.h"
 #include "serving/requestlog.h"
@@ -61,7 +62,7 @@
     OrderPort &orders;
     EventLog &log;
     RequestMetrics &metrics;
-    std::function<void(const CallerLimits &)> onLimits; ///< Called when the callers' limits changed.
+    std::function<void(const IngressLimits &)> onLimits; ///< Called when the callers' limits changed.
 };
 
 /**
@@ -110,8 +111,6 @@
     void removeLapsed();
     void followTrust();
     void sendBeats();
-    void writeOwnRecord();
-    void removeLostHosts();
     bool mayAssignOwners() const;
     HostBeat makeBeat() const;
     RecordProof proofOf(int64_t revision, Millis provenAt) const;
@@ -132,6 +131,7 @@
     RecordMirror m_versionRecords;
     RecordMirror m_coordination;
     LoadCoordinator m_loads;
+    HostRegistry m_registry;
     std::map<ReplicaId, Millis> m_lapsed; ///< Replicas whose entries went missing right after a store outage.
     int64_t m_configRevision = 0;
     int64_t m_backendsRevision = 0; ///< Newest change of a replica that matters for where work goes.
@@ -139,12 +139,8 @@
     Millis m_startedAt;
     Millis m_beatAt {0};
     Millis m_useAt {0};
-    Millis m_recordAt {0};
     Millis m_assignAt {0};
     Millis m_drainStartedAt {-1};
-    bool m_isWritingRecord = false;
-    bool m_hasOwnRecord = false; ///< Whether the store has this host's record as it should be.
-    bool m_hasSeenRecord = false; ///< Whether the mirror has it.
     bool m_wasTrusted = false;
     std::string m_liveHosts; ///< As told in the log last.
 };
--- a/serving/statestore.h
+++ b/serving/statestore.h
@@ -48,13 +48,6 @@
     int64_t asOf = 0; ///< The store's revision that the answer shows.
 };
 
-/** Answer of write(). */
-struct StoreWrite
-{
-    StoreResult result = StoreResult::Failed;
-    int64_t revision = 0; ///< Of the record, if done or if in conflict.
-};
-
 /**
  * The platform's store, as the serving core needs it.
  *
@@ -64,7 +57,7 @@
 {
 public:
     using ReadHandler = std::function<void(StoreRead)>;
-    using WriteHandler = std::function<void(StoreWrite)>;
+    using WriteHandler = std::function<void(StoreResult)>;
 
     virtual ~StateStore() = default;
 
--- a/tests/serving/servingnodetest.cpp
+++ b/tests/serving/servingnodetest.cpp
@@ -30,7 +30,7 @@
         m_node
             = std::make_unique<ServingNode>(m_settings,
                                             ServingPorts {m_clock, m_store, m_decoder, m_peers, m_callers, m_attempts,
-                                                          m_orders, m_log, m_metrics, [](const CallerLimits &) {}},
+                                                          m_orders, m_log, m_metrics, [](const IngressLimits &) {}},
                                             5);
     }
     void load()
@@ -62,7 +62,7 @@
         }
         for (FakeStore::Write &write : std::exchange(m_store.writes, {})) {
             m_written[write.name] = write.content;
-            write.handler({StoreResult::Done, 30});
+            write.handler(StoreResult::Done);
         }
     }
     /** A beat of the other host that echoes this host's newest round. */
@@ -77,6 +77,14 @@
         beat.echoed = lastBeat().sequence;
         return beat;
     }
+    /** Lets the host see that it orders e1's loads, after another host or as the first. */
+    void makeOwner(bool isTakeover)
+    {
+        const nlohmann::json owners {{"fence", 3},
+                                     {"replicas", {{"e1", {{"host", "h1"}, {"fence", 3}, {"takeover", isTakeover}}}}}};
+        m_node->tick();
+        m_store.answer(Collection::Coordination, {StoreResult::Done, {{"owners", 40, owners, false}}, false, 40});
+    }
     /** @return the newest beat that this host has sent. */
     HostBeat lastBeat() const
     {
@@ -240,11 +248,7 @@
 {
     load();
     pass(100, true);
-    const nlohmann::json owners {{"fence", 3},
-                                 {"replicas", {{"e1", {{"host", "h1"}, {"fence", 3}, {"takeover", true}}}}}};
-    m_store.answer(Collection::Coordination, {StoreResult::Done, {{"owners", 40, owners, false}}, false, 40});
-    pass(10, false);
-    m_store.answer(Collection::Coordination, {StoreResult::Done, {{"owners", 40, owners, false}}, false, 40});
+    makeOwner(true);
     // The owner before orders for at most 7 s after its last proof; then the lease of 3 s must pass.
     pass(9900, true);
     EXPECT_EQ(m_orders.reportCount, 0);
@@ -256,10 +260,7 @@
 {
     load();
     pass(100, true);
-    const nlohmann::json owners {{"fence", 3},
-                                 {"replicas", {{"e1", {{"host", "h1"}, {"fence", 3}, {"takeover", false}}}}}};
-    m_node->tick();
-    m_store.answer(Collection::Coordination, {StoreResult::Done, {{"owners", 40, owners, false}}, false, 40});
+    makeOwner(false);
     pass(200, true);
     ASSERT_EQ(m_orders.reportCount, 1);
     Holdings holdings = m_decoder.backends[0].holdings;
@@ -276,10 +277,7 @@
 {
     load();
     pass(100, true);
-    const nlohmann::json owners {{"fence", 3},
-                                 {"replicas", {{"e1", {{"host", "h1"}, {"fence", 3}, {"takeover", false}}}}}};
-    m_node->tick();
-    m_store.answer(Collection::Coordination, {StoreResult::Done, {{"owners", 40, owners, false}}, false, 40});
+    makeOwner(false);
     pass(200, true);
     ASSERT_EQ(m_orders.reports.size(), 1U);
     m_orders.answerReport(Holdings {});
