--- a/cluster/messages/fleet.h
+++ b/cluster/messages/fleet.h
@@ -53,10 +53,34 @@
     }
 };
 
+/** What a host tells of another one that it hears. */
+struct HostSign
+{
+    uint32_t host = 0; ///< Short hash of the host's name.
+    bool isReady = false;
+    bool isStopping = false;
+    bool reachesStore = false;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(host, isReady, isStopping, reachesStore);
+    }
+};
+
+/** Whom the uses and teams of a beat are about. */
+enum class BeatScope : uint8_t
+{
+    Nobody, ///< The receiver hears of them from another host.
+    Sender, ///< The sender, and the hosts that it speaks for.
+    AllOthers, ///< All hosts but the receiver.
+};
+
 /** A host's periodic report to another one. */
 struct HostBeat
 {
     Incarnation incarnation;
+    BeatScope scope = BeatScope::Sender;
     uint64_t sequence = 0;
     uint64_t echoed = 0; ///< Sequence of the newest beat that the sender has from the receiver; 0 if none.
     bool isReady = false;
@@ -69,12 +93,13 @@
     RecordProof owners;
     std::vector<ReplicaUse> uses;
     std::vector<TeamUse> teams;
+    std::vector<HostSign> told; ///< Hosts that the sender tells of, itself not among them.
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(incarnation, sequence, echoed, isReady, isStopping, reachesStore, slowLoads, modelLoads,
-                backendsRevision, configuration, owners, uses, teams);
+        archive(incarnation, scope, sequence, echoed, isReady, isStopping, reachesStore, slowLoads, modelLoads,
+                backendsRevision, configuration, owners, uses, teams, told);
     }
 };
 
@@ -92,18 +117,31 @@
     }
 };
 
-/** What a replica holds, told by the host that orders its loads; each message tells all. */
+/** What a replica holds, told by the host that orders its loads; each one tells all. */
 struct ResidencyNews
 {
     ReplicaId replica;
+    HostId owner; ///< The host that orders the loads; others may pass its news on.
     int64_t bornAt = 0; ///< The replica's life that this is about.
-    uint64_t sequence = 0; ///< Rises with each message of the sender's incarnation.
+    uint64_t sequence = 0; ///< Rises with each of the owner's news of this replica.
     std::vector<ResidentAdapter> adapters;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(replica, bornAt, sequence, adapters);
+        archive(replica, owner, bornAt, sequence, adapters);
+    }
+};
+
+/** News of several replicas. */
+struct ResidencyBatch
+{
+    std::vector<ResidencyNews> news;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(news);
     }
 };
 
@@ -136,7 +174,7 @@
     }
 };
 
-/** Tells the host that orders a replica's loads what the sender uses there; each message tells all. */
+/** What one host uses in a replica; each one tells all. */
 struct AdapterUseReport
 {
     ReplicaId replica;
@@ -149,4 +187,16 @@
     }
 };
 
+/** Tells a host that orders replicas' loads what the sender uses in them. */
+struct AdapterUseBatch
+{
+    std::vector<AdapterUseReport> reports;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(reports);
+    }
+};
+
 }
--- a/main/entrysettings.cpp
+++ b/main/entrysettings.cpp
@@ -24,6 +24,7 @@
         {"revoke-limit-ms", &ServingSettings::revokeLimit, false},
         {"order-lease-ms", &ServingSettings::orderLease, false},
         {"version-limit-ms", &ServingSettings::versionLimit, false},
+        {"capacity", &ServingSettings::capacity, false},
         {"retry-ratio", &ServingSettings::retryRatio, false},
         {"retry-allowance", &ServingSettings::retryAllowance, false},
     });
@@ -75,6 +76,9 @@
         || settings.serving.retryWindow.value < 1) {
         throw DocumentError("/revoke-limit-ms: must be above 0, like the other times");
     }
+    if (settings.serving.capacity <= 0) {
+        throw DocumentError("/capacity: must be above 0");
+    }
 }
 
 }
--- a/policy/fleetquota.cpp
+++ b/policy/fleetquota.cpp
@@ -30,17 +30,37 @@
     m_level = std::min(m_level, m_burst * ownPart());
 }
 
-void FleetQuota::onReport(const HostId &host, const std::string &incarnation, int64_t admitted, Millis now)
+void FleetQuota::onReport(const HostId &host, const std::string &incarnation, int64_t admitted, Millis now,
+                          bool isSpokenFor)
 {
     refill(now);
     Peer &peer = m_peers[host];
     if (peer.incarnation != incarnation) {
         // What the new life admitted before it was heard is taken off too; the first life's rest was reported.
         const bool isFirst = peer.incarnation.empty();
-        peer = {incarnation, isFirst ? admitted : 0};
+        peer.incarnation = incarnation;
+        peer.admitted = isFirst ? admitted : 0;
     }
-    m_level = std::min(m_level - static_cast<double>(admitted - peer.admitted), m_burst * ownPart());
+    const int64_t added = admitted - peer.admitted;
+    m_level = std::min(m_level - static_cast<double>(added), m_burst * ownPart());
     peer.admitted = admitted;
+    peer.counted += added;
+    m_heard += added;
+    m_spokenFor += isSpokenFor ? added : 0;
+}
+
+void FleetQuota::forgetCount(const HostId &host)
+{
+    const auto peer = m_peers.find(host);
+    if (peer != m_peers.end()) {
+        peer->second.incarnation.clear();
+    }
+}
+
+int64_t FleetQuota::admittedByAllBut(const HostId &host) const
+{
+    const auto peer = m_peers.find(host);
+    return m_admitted + m_heard - (peer == m_peers.end() ? 0 : peer->second.counted);
 }
 
 bool FleetQuota::take(double cost, Millis now)
--- a/policy/fleetquota.h
+++ b/policy/fleetquota.h
@@ -33,8 +33,12 @@
      * Takes what a host has admitted since it started; what it gave back is taken off.
      *
      * @param incarnation tells its lives apart.
+     * @param isSpokenFor whether this host passes the report on to others as part of its own.
      */
-    void onReport(const HostId &host, const std::string &incarnation, int64_t admitted, Millis now);
+    void onReport(const HostId &host, const std::string &incarnation, int64_t admitted, Millis now,
+                  bool isSpokenFor = false);
+    /** The next report of the host only says where its count stands: until then another host has spoken for it. */
+    void forgetCount(const HostId &host);
 
     /**
      * Admits a request if the bucket holds any token.
@@ -51,6 +55,13 @@
     {
         return m_admitted;
     }
+    /** @return the same with what the hosts have admitted that this one speaks for. */
+    int64_t admittedForOthers() const
+    {
+        return m_admitted + m_spokenFor;
+    }
+    /** @return what all hosts but @p host have admitted, as far as was heard since this host's start. */
+    int64_t admittedByAllBut(const HostId &host) const;
     /** @return tokens in the bucket; negative while others have admitted more than was known here. */
     double level(Millis now);
     /** @return how long until the bucket holds a token again. */
@@ -63,8 +74,9 @@
 private:
     struct Peer
     {
-        std::string incarnation;
+        std::string incarnation; ///< Empty if the count is to be learned anew.
         int64_t admitted = 0;
+        int64_t counted = 0; ///< Tokens that its reports have taken off here.
     };
 
     void refill(Millis now);
@@ -75,6 +87,8 @@
     double m_level = 0;
     Millis m_refilledAt;
     int64_t m_admitted = 0;
+    int64_t m_spokenFor = 0; ///< Tokens that were admitted by hosts this one speaks for.
+    int64_t m_heard = 0; ///< Tokens that all reports have taken off here.
     int m_debtTurn = 0; ///< Counts requests that found too few tokens.
     int64_t m_hosts = 1;
     int64_t m_silent = 0;
--- a/serving/backendtable.cpp
+++ b/serving/backendtable.cpp
@@ -30,6 +30,8 @@
     if (isNew) {
         state = std::make_unique<BackendState>();
         state->shortId = shortHash(backend.id.text());
+        const auto peers = m_peerLoads.find(state->shortId);
+        state->peers = peers == m_peerLoads.end() ? ReplicaLoad() : peers->second;
         m_byShortId[state->shortId] = state.get();
     }
     const bool isNewLife = !isNew && state->info.holdings.bornAt != backend.holdings.bornAt;
@@ -57,7 +59,7 @@
     std::vector<ReplicaId> forgotten;
     for (auto entry = m_backends.begin(); entry != m_backends.end();) {
         const BackendState &state = *entry->second;
-        if (state.isGone && state.ownRunning == 0 && now - state.goneAt > goneRetention) {
+        if (state.isGone && state.own.running == 0 && now - state.goneAt > goneRetention) {
             m_byShortId.erase(state.shortId);
             forgotten.push_back(entry->first);
             entry = m_backends.erase(entry);
@@ -88,39 +90,68 @@
 void BackendTable::setPeerUse(const HostId &host, const std::vector<ReplicaUse> &uses)
 {
     std::vector<ReplicaUse> &known = m_peerUses[host];
-    if (known.empty() && uses.empty()) {
-        return; // a silent host is told of with every round
-    }
+    addPeerUse(known, -1);
     known = uses;
-    sumPeers();
+    addPeerUse(known, 1);
 }
 
-void BackendTable::sumPeers()
+void BackendTable::addPeerUse(const std::vector<ReplicaUse> &uses, int64_t sign)
 {
-    for (const auto &[id, state] : m_backends) {
-        state->peerRunning = 0;
-        state->peerTokens = 0;
-        state->peerUnread = 0;
-    }
-    for (const auto &[host, uses] : m_peerUses) {
-        for (const ReplicaUse &use : uses) {
-            const auto state = m_byShortId.find(use.replica);
-            if (state != m_byShortId.end()) {
-                state->second->peerRunning += use.running;
-                state->second->peerTokens += use.tokens;
-                state->second->peerUnread += use.unread;
-            }
+    for (const ReplicaUse &use : uses) {
+        ReplicaLoad &sum = m_peerLoads[use.replica];
+        sum.add(use, sign);
+        const auto state = m_byShortId.find(use.replica);
+        if (state != m_byShortId.end()) {
+            state->second->peers = sum;
         }
+        if (sum.running == 0) {
+            m_peerLoads.erase(use.replica);
+        }
+    }
+}
+
+std::vector<ReplicaUse> BackendTable::useWith(const std::vector<HostId> &hosts) const
+{
+    Loads theirs;
+    for (const HostId &host : hosts) {
+        addReported(theirs, host, 1);
+    }
+    return report(theirs, [](const BackendState &state) {
+        return state.own;
+    });
+}
+
+std::vector<ReplicaUse> BackendTable::useWithout(const HostId &host) const
+{
+    Loads theirs;
+    addReported(theirs, host, -1);
+    return report(theirs, [](const BackendState &state) {
+        return state.own + state.peers;
+    });
+}
+
+void BackendTable::addReported(Loads &loads, const HostId &host, int64_t sign) const
+{
+    const auto uses = m_peerUses.find(host);
+    if (uses == m_peerUses.end()) {
+        return;
+    }
+    for (const ReplicaUse &use : uses->second) {
+        loads[use.replica].add(use, sign);
     }
 }
 
-std::vector<ReplicaUse> BackendTable::ownUse() const
+template<class BaseOf>
+std::vector<ReplicaUse> BackendTable::report(const Loads &loads, BaseOf base) const
 {
     std::vector<ReplicaUse> uses;
     for (const auto &[id, state] : m_backends) {
-        if (state->ownRunning > 0) {
-            uses.push_back({state->shortId, static_cast<uint16_t>(std::min<int64_t>(state->ownRunning, UINT16_MAX)),
-                            static_cast<uint32_t>(state->ownTokens), static_cast<uint32_t>(state->ownUnread)});
+        const auto added = loads.find(state->shortId);
+        const ReplicaLoad load = added == loads.end() ? base(*state) : base(*state) + added->second;
+        if (load.running > 0) {
+            uses.push_back({state->shortId, static_cast<uint16_t>(std::min<int64_t>(load.running, UINT16_MAX)),
+                            static_cast<uint32_t>(std::max<int64_t>(load.tokens, 0)),
+                            static_cast<uint32_t>(std::max<int64_t>(load.unread, 0))});
         }
     }
     return uses;
@@ -129,24 +160,24 @@
 void BackendTable::onSent(const ReplicaId &id, int64_t tokens, int64_t unread)
 {
     if (BackendState *state = find(id)) {
-        ++state->ownRunning;
-        state->ownTokens += tokens;
-        state->ownUnread += unread;
+        ++state->own.running;
+        state->own.tokens += tokens;
+        state->own.unread += unread;
     }
 }
 
 void BackendTable::onRead(const ReplicaId &id, int64_t unread)
 {
     if (BackendState *state = find(id)) {
-        state->ownUnread -= unread;
+        state->own.unread -= unread;
     }
 }
 
 void BackendTable::onEnded(const ReplicaId &id, int64_t tokens)
 {
     if (BackendState *state = find(id)) {
-        --state->ownRunning;
-        state->ownTokens -= tokens;
+        --state->own.running;
+        state->own.tokens -= tokens;
     }
 }
 
--- a/serving/backendtable.h
+++ b/serving/backendtable.h
@@ -3,6 +3,7 @@
 #include "core/ids.h"
 #include "core/units.h"
 #include "serving/backend.h"
+#include "serving/replicaload.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -11,11 +12,6 @@
 #include <unordered_map>
 #include <vector>
 
-namespace vanillaspar
-{
-struct ReplicaUse;
-}
-
 namespace vanillaspar::serving
 {
 
@@ -24,12 +20,8 @@
 {
     Backend info;
     uint32_t shortId = 0; ///< Hash of the id, as hosts name it to each other.
-    int64_t ownRunning = 0; ///< Requests of this host that it has.
-    int64_t ownTokens = 0;
-    int64_t peerRunning = 0; ///< Requests of the other hosts, by their last reports.
-    int64_t peerTokens = 0;
-    int64_t ownUnread = 0; ///< Prompt tokens of this host's requests that have not begun to answer.
-    int64_t peerUnread = 0;
+    ReplicaLoad own; ///< Requests of this host.
+    ReplicaLoad peers; ///< Requests of the other hosts, by their last reports.
     double failureRate = 0; ///< Decayed part of this host's requests that it failed, 0 to 1.
     Millis avoidUntil {0}; ///< Not to be chosen until then while another one can be.
     int consecutiveFailures = 0;
@@ -38,7 +30,7 @@
 
     int64_t running() const
     {
-        return ownRunning + peerRunning;
+        return own.running + peers.running;
     }
     /** @return requests that run, in parts of a full batch. */
     double slotLoad() const
@@ -70,8 +62,10 @@
 
     /** Replaces what a host has reported to use. */
     void setPeerUse(const HostId &host, const std::vector<ReplicaUse> &uses);
-    /** @return this host's own use, for its reports. */
-    std::vector<ReplicaUse> ownUse() const;
+    /** @return this host's use with that of the hosts that it speaks for. */
+    std::vector<ReplicaUse> useWith(const std::vector<HostId> &hosts) const;
+    /** @return the use of all hosts but one. */
+    std::vector<ReplicaUse> useWithout(const HostId &host) const;
 
     /** A request was sent. @param tokens it takes of the engine's memory. @param unread of its prompt. */
     void onSent(const ReplicaId &id, int64_t tokens, int64_t unread);
@@ -83,11 +77,19 @@
     void onFailure(const ReplicaId &id, bool isUnreachable, Millis now);
 
 private:
-    void sumPeers();
+    using Loads = std::unordered_map<uint32_t, ReplicaLoad>; ///< By short id.
+
+    void addPeerUse(const std::vector<ReplicaUse> &uses, int64_t sign);
+    /** Adds what a host has reported to use. @param sign 1 or -1. */
+    void addReported(Loads &loads, const HostId &host, int64_t sign) const;
+    /** @return @p loads added to what each server has by @p base. */
+    template<class BaseOf>
+    std::vector<ReplicaUse> report(const Loads &loads, BaseOf base) const;
 
     std::map<ReplicaId, std::unique_ptr<BackendState>> m_backends;
     std::unordered_map<uint32_t, BackendState *> m_byShortId;
     std::map<HostId, std::vector<ReplicaUse>> m_peerUses;
+    Loads m_peerLoads; ///< Sums of m_peerUses, also for servers that aren't known yet.
 };
 
 }
--- a/serving/enginechooser.cpp
+++ b/serving/enginechooser.cpp
@@ -46,8 +46,8 @@
         return bySlots;
     }
     const double byTokens
-        = static_cast<double>(state.ownTokens + state.peerTokens) / static_cast<double>(engine.cacheTokens);
-    const double byReading = static_cast<double>(state.ownUnread + state.peerUnread) / fullReading;
+        = static_cast<double>(state.own.tokens + state.peers.tokens) / static_cast<double>(engine.cacheTokens);
+    const double byReading = static_cast<double>(state.own.unread + state.peers.unread) / fullReading;
     return std::max({bySlots, byTokens, byReading});
 }
 
--- a/serving/fleetmembers.cpp
+++ b/serving/fleetmembers.cpp
@@ -1,11 +1,13 @@
 #include "serving/fleetmembers.h"
 
 #include "core/error.h"
+#include "core/hash.h"
 #include "serving/servingsettings.h"
 #include "serving/statestore.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <tuple>
 
 namespace vanillaspar::serving
 {
@@ -19,6 +21,11 @@
 // Longer than a restart, so that a host which comes back keeps what it held.
 constexpr Millis lostLimit(5000);
 constexpr size_t roundsRemembered = 100;
+// One hub can fail without a gap in what the domain's hosts hear.
+constexpr size_t hubsPerDomain = 2;
+// Hosts that beats go to until two of them answer: the hubs may both have failed, and the next ones may not know yet.
+constexpr size_t mostCandidates = 5;
+constexpr size_t mostAddresses = 64; // that a caller takes, by the platform's protocol
 
 }
 
@@ -43,6 +50,7 @@
     if (host == m_settings.host) {
         return;
     }
+    m_byShortId[shortHash(host.text())] = host;
     if (record.isDeleted) {
         m_peers.erase(host);
         return;
@@ -57,14 +65,16 @@
         member.domain = DomainId(record.content.at("domain").get<std::string>());
         member.peerAddress = record.content.at("peer").get<std::string>();
         member.callerAddress = record.content.at("caller").get<std::string>();
+        member.capacity = record.content.value("capacity", 1.0);
     } catch (const nlohmann::json::exception &error) {
         m_peers.erase(host);
         throw DecodeError("host record " + record.name + ": " + error.what());
     }
 }
 
-uint64_t FleetMembers::beginRound(Millis now)
+uint64_t FleetMembers::beginRound(bool isStopping, Millis now)
 {
+    findHubs(isStopping, now);
     ++m_round;
     m_roundSentAt[m_round] = now;
     if (m_roundSentAt.size() > roundsRemembered) {
@@ -73,6 +83,85 @@
     return m_round;
 }
 
+void FleetMembers::findHubs(bool isStopping, Millis now)
+{
+    std::map<DomainId, std::set<Rank>> ranks;
+    if (!isStopping) {
+        ranks[m_settings.domain].insert({m_settings.capacity, m_settings.host});
+    }
+    for (const auto &[host, member] : m_peers) {
+        if (!member.sign.isStopping && !isLost(host, now)) {
+            ranks[member.domain].insert({member.capacity, host});
+        }
+    }
+    m_hubs.clear();
+    m_firstHubs.clear();
+    m_candidates.clear();
+    for (const auto &[domain, hosts] : ranks) {
+        size_t hubs = 0;
+        std::vector<HostId> &candidates = m_candidates[domain];
+        for (const Rank &rank : hosts) {
+            const bool isThere = rank.host == m_settings.host || isLive(rank.host, now);
+            if (candidates.size() < mostCandidates || isThere) {
+                candidates.push_back(rank.host);
+            }
+            if (isThere) {
+                m_hubs.insert(rank.host);
+                m_firstHubs.emplace(domain, rank.host);
+                if (++hubs == hubsPerDomain) {
+                    break;
+                }
+            }
+        }
+    }
+}
+
+HostId FleetMembers::speakerOf(const HostId &host) const
+{
+    if (isHub(host)) {
+        return host;
+    }
+    const auto member = m_peers.find(host);
+    const DomainId &domain = member == m_peers.end() ? m_settings.domain : member->second.domain;
+    const auto first = m_firstHubs.find(domain);
+    if (first != m_firstHubs.end()) {
+        return first->second;
+    }
+    return m_hubs.empty() ? HostId() : *m_hubs.begin();
+}
+
+std::vector<HostId> FleetMembers::spokenFor(Millis now) const
+{
+    std::vector<HostId> hosts;
+    for (const auto &[host, member] : m_peers) {
+        if (!isHub(host) && isHeard(host, now) && speakerOf(host) == m_settings.host) {
+            hosts.push_back(host);
+        }
+    }
+    return hosts;
+}
+
+std::set<HostId> FleetMembers::beatTargets(Millis now) const
+{
+    std::set<HostId> targets;
+    const bool isOwnHub = isHub(m_settings.host);
+    const bool hasHub = m_firstHubs.count(m_settings.domain) > 0;
+    for (const auto &[domain, hosts] : m_candidates) {
+        if (isOwnHub || !hasHub || domain == m_settings.domain) {
+            targets.insert(hosts.begin(), hosts.end());
+        }
+    }
+    if (isOwnHub) {
+        for (const auto &[host, member] : m_peers) {
+            if (isHeard(host, now)) {
+                targets.insert(host);
+            }
+        }
+    }
+    targets.erase(m_settings.host);
+    return targets;
+}
+
 bool FleetMembers::onBeat(const HostId &from, const HostBeat &beat, Millis now)
 {
     const auto entry = m_peers.find(from);
@@ -86,6 +175,17 @@
     }
     member.beat = beat;
     member.heardAt = now;
+    member.sign = {0, beat.isReady, beat.isStopping, beat.reachesStore};
+    for (const HostSign &told : beat.told) {
+        const auto name = m_byShortId.find(told.host);
+        const auto other = name == m_byShortId.end() ? m_peers.end() : m_peers.find(name->second);
+        if (other != m_peers.end()) {
+            other->second.toldAt = now;
+            if (!isHeard(other->first, now)) {
+                other->second.sign = told;
+            }
+        }
+    }
     return true;
 }
 
@@ -99,6 +199,16 @@
 }
 
 bool FleetMembers::isLive(const HostId &host, Millis now) const
+{
+    const auto entry = m_peers.find(host);
+    if (entry == m_peers.end()) {
+        return false;
+    }
+    const Millis lastAt = std::max(entry->second.heardAt, entry->second.toldAt);
+    return lastAt.value >= 0 && now - lastAt < liveLimit;
+}
+
+bool FleetMembers::isHeard(const HostId &host, Millis now) const
 {
     const auto entry = m_peers.find(host);
     return entry != m_peers.end() && entry->second.heardAt.value >= 0 && now - entry->second.heardAt < liveLimit;
@@ -113,25 +223,37 @@
     return entry == m_peers.end() || now - entry->second.lastSign() > lostLimit;
 }
 
-std::vector<std::string> FleetMembers::callerAddresses(bool isReady, Millis now) const
+std::vector<std::string> FleetMembers::callerAddresses(const DomainId &domain, bool isReady, Millis now) const
 {
-    std::vector<std::string> addresses;
+    // Which hosts are left out must not change from one answer to the next: callers would move their connections.
+    std::map<std::tuple<bool, double, uint64_t>, std::string> ranked;
+    const auto add = [&](const HostId &host, const DomainId &home, double capacity, const std::string &address) {
+        ranked.emplace(std::make_tuple(home != domain, -capacity, stableHash(host.text() + domain.text())), address);
+    };
     for (const auto &[host, member] : m_peers) {
-        if (isLive(host, now) && member.beat.isReady && !member.beat.isStopping) {
-            addresses.push_back(member.callerAddress);
+        if (isLive(host, now) && member.sign.isReady && !member.sign.isStopping) {
+            add(host, member.domain, member.capacity, member.callerAddress);
         }
     }
     if (isReady) {
-        addresses.push_back(m_settings.callerAddress);
+        add(m_settings.host, m_settings.domain, m_settings.capacity, m_settings.callerAddress);
+    }
+    std::vector<std::string> addresses;
+    for (const auto &[rank, address] : ranked) {
+        if (addresses.size() < mostAddresses) {
+            addresses.push_back(address);
+        }
     }
     return addresses;
 }
 
 bool FleetMembers::isFirst(Millis now) const
 {
-    return std::none_of(m_peers.begin(), m_peers.end(), [&](const auto &entry) {
-        return entry.first < m_settings.host && isLive(entry.first, now) && entry.second.beat.reachesStore
-            && !entry.second.beat.isStopping;
+    if (!isHub(m_settings.host)) {
+        return false;
+    }
+    return std::none_of(m_hubs.begin(), m_hubs.end(), [&](const HostId &hub) {
+        return hub < m_settings.host && isLive(hub, now) && m_peers.at(hub).sign.reachesStore;
     });
 }
 
--- a/serving/fleetmembers.h
+++ b/serving/fleetmembers.h
@@ -7,7 +7,9 @@
 #include <algorithm>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace vanillaspar::serving
@@ -23,18 +25,27 @@
     DomainId domain;
     std::string peerAddress;
     std::string callerAddress;
+    double capacity = 1; ///< Processor cores; the larger hosts of a domain become its hubs.
     Millis knownSince; ///< When its record was first seen.
     Millis heardAt {-1}; ///< When its last beat came.
-    HostBeat beat; ///< The last one.
+    Millis toldAt {-1}; ///< When a hub last said that it lives.
+    HostSign sign; ///< The newest, heard or told.
+    HostBeat beat; ///< The last one that was heard.
 
-    /** @return when the host was heard last, or first known of if it never was. */
+    /** @return when there was a sign of it last, or when it was first known of if there was none. */
     Millis lastSign() const
     {
-        return std::max(heardAt, knownSince);
+        return std::max({heardAt, toldAt, knownSince});
     }
 };
 
-/** The hosts of the system: who is there by the store's records, and who lives by their beats. */
+/**
+ * The hosts of the system: who is there by the store's records, and who lives by their beats.
+ *
+ * The first two live hosts of a failure domain, the largest first, are its hubs. Hubs hear each other; every other host
+ * hears its domain's hubs only, and the first of them speaks for it. So what a host sends and hears doesn't grow with
+ * the number of hosts. In a fleet of two hosts for each domain all are hubs and hear each other.
+ */
 class FleetMembers
 {
 public:
@@ -46,8 +57,8 @@
     /** Follows a host's record. @throws DecodeError if it can't be read. */
     void onRecord(const StoredRecord &record, Millis now);
 
-    /** Notes that a round of beats is sent. @return its sequence number. */
-    uint64_t beginRound(Millis now);
+    /** Notes that a round of beats is sent, and finds the hubs anew. @return its sequence number. */
+    uint64_t beginRound(bool isStopping, Millis now);
     /** Takes a beat. @return whether it is newer than the last one. */
     bool onBeat(const HostId &from, const HostBeat &beat, Millis now);
     /**
@@ -66,23 +77,61 @@
     {
         return static_cast<int64_t>(m_peers.size()) + 1;
     }
-    /** @return whether a beat came lately. */
+    /** @return whether there was a sign of the host lately. */
     bool isLive(const HostId &host, Millis now) const;
-    /** @return whether no beat has come for so long that the host counts as lost. */
+    /** @return whether the host's own beats come. */
+    bool isHeard(const HostId &host, Millis now) const;
+    /** @return whether no sign has come for so long that the host counts as lost. */
     bool isLost(const HostId &host, Millis now) const;
-    /** @return addresses that callers should use: of live hosts that serve, this one included if @p isReady. */
-    std::vector<std::string> callerAddresses(bool isReady, Millis now) const;
-    /** @return whether this host has the lowest name of the live ones. */
+    /** @return whether the host is a hub, by this host's view at the start of the round. */
+    bool isHub(const HostId &host) const
+    {
+        return m_hubs.count(host) > 0;
+    }
+    const std::set<HostId> &hubs() const
+    {
+        return m_hubs;
+    }
+    /** @return the hub that speaks for a host to the other hubs; a hub speaks for itself. Empty if there is none. */
+    HostId speakerOf(const HostId &host) const;
+    /** @return hosts that this one speaks for and hears. */
+    std::vector<HostId> spokenFor(Millis now) const;
+    /** @return hosts that this one sends its beats to. */
+    std::set<HostId> beatTargets(Millis now) const;
+    /** @return whether this host has the lowest name of the live hubs that reach the store. */
     bool isFirst(Millis now) const;
+    /**
+     * @return addresses that callers should use: of live hosts that serve, this one included if @p isReady.
+     * @param domain where the caller is; its hosts and the large ones go first if there are more than callers take.
+     */
+    std::vector<std::string> callerAddresses(const DomainId &domain, bool isReady, Millis now) const;
     const Incarnation &incarnation() const
     {
         return m_incarnation;
     }
 
 private:
+    /** A host as a possible hub; the first in order goes first. */
+    struct Rank
+    {
+        double capacity;
+        HostId host;
+
+        bool operator<(const Rank &other) const
+        {
+            return capacity != other.capacity ? capacity > other.capacity : host < other.host;
+        }
+    };
+
+    void findHubs(bool isStopping, Millis now);
+
     const ServingSettings &m_settings;
     Incarnation m_incarnation;
     std::map<HostId, FleetMember> m_peers;
+    std::unordered_map<uint32_t, HostId> m_byShortId;
+    std::set<HostId> m_hubs;
+    std::map<DomainId, HostId> m_firstHubs;
+    std::map<DomainId, std::vector<HostId>> m_candidates; ///< Hubs, and hosts before them that may come back.
     uint64_t m_round = 0;
     std::map<uint64_t, Millis> m_roundSentAt;
 };
--- a/serving/loadcoordinator.cpp
+++ b/serving/loadcoordinator.cpp
@@ -34,6 +34,13 @@
 // A host orders for so long on its last proof that it is a replica's owner; it covers the usual outages of the store.
 constexpr Millis orderHold(7000);
 constexpr Millis takeoverMargin(300);
+// Adapters that the weight store gives out at full speed, by the users' sheets: 24 and 16 for 18 and 12 replicas, 88
+// and 80 for 89 and 90.
+constexpr int64_t leastFullSpeedLoads = 16;
+constexpr double fullSpeedLoadsPerReplica = 0.9;
+// News to hosts that are no hubs go out together, so that a datagram is worth its cost.
+constexpr Millis membersInterval(40);
+constexpr size_t newsPerMessage = 16; // a few kilobytes
 
 }
 
@@ -190,7 +197,7 @@
     const OrderTerms terms {state->info,         *engine,
                             m_context.versions,  m_context.settings.host,
                             Epoch(entry->fence), mayLoadModel(engine->loadsPerSecond, loads.models),
-                            loads.adapters};
+                            loads.adapters,      fullSpeedLoads(state->info.pool)};
     if (orders.step(terms, now)) {
         m_modelLoadAt = now;
     }
@@ -198,10 +205,10 @@
 
 bool LoadCoordinator::mayLoadModel(double loadsPerSecond, int64_t fleetModelLoads) const
 {
-    // Every host keeps to its even part of the weight store's rate.
+    // Every hub keeps to its even part of the weight store's rate.
     const double rate = loadsPerSecond * modelLoadPart;
-    const auto hosts = static_cast<double>(m_context.members.hostCount());
-    const Millis spacing = rate > 0 ? fromSeconds(hosts / rate) : Millis(0);
+    const auto owners = static_cast<double>(std::max<size_t>(m_context.members.hubs().size(), 1));
+    const Millis spacing = rate > 0 ? fromSeconds(owners / rate) : Millis(0);
     return fleetModelLoads < fullSpeedModelLoads && m_context.clock.now() - m_modelLoadAt >= spacing;
 }
 
@@ -210,7 +217,7 @@
     const Millis now = m_context.clock.now();
     FleetLoads loads {slowLoads(), modelLoads()};
     for (const auto &[host, member] : m_context.members.peers()) {
-        if (m_context.members.isLive(host, now)) {
+        if (m_context.members.isHeard(host, now)) {
             loads.adapters += member.beat.slowLoads;
             loads.models += member.beat.modelLoads;
         }
@@ -235,23 +242,72 @@
     });
 }
 
+void LoadCoordinator::onNews(const HostId &from, const ResidencyBatch &batch)
+{
+    const FleetMembers &members = m_context.members;
+    const bool isOwnHub = members.isHub(m_context.settings.host);
+    for (const ResidencyNews &news : batch.news) {
+        if (!m_context.residency.onNews(news, m_context.clock.now()) || !isOwnHub) {
+            continue;
+        }
+        m_newsForMembers.push_back(news);
+        if (!members.isHub(from)) {
+            m_newsForHubs.push_back(news);
+        }
+    }
+}
+
 void LoadCoordinator::tellNews()
 {
     const Millis now = m_context.clock.now();
-    std::vector<std::string> addresses;
-    for (const auto &[host, member] : m_context.members.peers()) {
-        addresses.push_back(member.peerAddress);
-    }
     for (const auto &[replica, orders] : m_orders) {
-        const std::optional<ResidencyNews> news = orders->takeNews(m_context.backends.find(replica)->info, now);
-        if (!news) {
-            continue;
+        const std::optional<ResidencyNews> news
+            = orders->takeNews(m_context.backends.find(replica)->info, m_context.settings.host, now);
+        if (news) {
+            m_context.residency.onNews(*news, now);
+            m_newsForHubs.push_back(*news);
+            m_newsForMembers.push_back(*news);
         }
-        m_context.residency.onNews(m_context.settings.host, *news, now);
-        m_context.peers.sendAll(addresses, *news);
+    }
+    const FleetMembers &members = m_context.members;
+    if (!members.isHub(m_context.settings.host)) {
+        sendNews({members.speakerOf(m_context.settings.host)}, m_newsForHubs);
+        m_newsForHubs.clear();
+        m_newsForMembers.clear();
+        return;
+    }
+    sendNews(members.hubs(), m_newsForHubs);
+    m_newsForHubs.clear();
+    if (now - m_membersToldAt >= membersInterval) {
+        m_membersToldAt = now;
+        const std::vector<HostId> hosts = members.spokenFor(now);
+        sendNews({hosts.begin(), hosts.end()}, m_newsForMembers);
+        m_newsForMembers.clear();
     }
 }
 
+void LoadCoordinator::sendNews(const std::set<HostId> &hosts, const std::vector<ResidencyNews> &news)
+{
+    std::vector<std::string> addresses;
+    for (const HostId &host : hosts) {
+        const auto member = m_context.members.peers().find(host);
+        if (member != m_context.members.peers().end()) {
+            addresses.push_back(member->second.peerAddress);
+        }
+    }
+    for (size_t first = 0; first < news.size() && !addresses.empty(); first += newsPerMessage) {
+        const auto begin = news.begin() + static_cast<std::ptrdiff_t>(first);
+        const auto end = news.begin() + static_cast<std::ptrdiff_t>(std::min(first + newsPerMessage, news.size()));
+        m_context.peers.sendAll(addresses, ResidencyBatch {{begin, end}});
+    }
+}
+
+int64_t LoadCoordinator::fullSpeedLoads(const PoolId &pool) const
+{
+    const auto replicas = static_cast<double>(m_context.backends.usable(pool).size());
+    return std::max(leastFullSpeedLoads, static_cast<int64_t>(replicas * fullSpeedLoadsPerReplica));
+}
+
 void LoadCoordinator::sendAsks(Dispatcher &dispatcher)
 {
     const Millis now = m_context.clock.now();
@@ -295,14 +351,18 @@
             report.uses.push_back(use);
         }
     }
+    std::map<HostId, AdapterUseBatch> batches;
     for (const auto &[replica, report] : reports) {
         const OwnerEntry *entry = m_owners.find(replica);
         if (entry != nullptr && entry->host == m_context.settings.host) {
             onUse(entry->host, report);
         } else if (entry != nullptr) {
-            sendTo(entry->host, report);
+            batches[entry->host].reports.push_back(report);
         }
     }
+    for (const auto &[host, batch] : batches) {
+        sendTo(host, batch);
+    }
 }
 
 std::vector<Placeable> LoadCoordinator::replicasToOwn() const
@@ -318,13 +378,15 @@
     return replicas;
 }
 
-std::vector<Placeable> LoadCoordinator::liveHosts() const
+std::vector<Placeable> LoadCoordinator::liveHubs() const
 {
-    const Millis now = m_context.clock.now();
-    std::vector<Placeable> live {{m_context.settings.host.text(), m_context.settings.domain}};
-    for (const auto &[host, member] : m_context.members.peers()) {
-        if (m_context.members.isLive(host, now) && !member.beat.isStopping) {
-            live.push_back({host.text(), member.domain});
+    std::vector<Placeable> live;
+    for (const HostId &hub : m_context.members.hubs()) {
+        const auto member = m_context.members.peers().find(hub);
+        if (member != m_context.members.peers().end()) {
+            live.push_back({hub.text(), member->second.domain});
+        } else if (hub == m_context.settings.host) {
+            live.push_back({hub.text(), m_context.settings.domain});
         }
     }
     return live;
@@ -346,7 +408,7 @@
 {
     OwnerTable next = m_owners;
     if (m_isAssigning || m_context.admission.config() == nullptr
-        || !next.assign(replicasToOwn(), liveHosts(), lostOwners())) {
+        || !next.assign(replicasToOwn(), liveHubs(), lostOwners())) {
         return;
     }
     m_isAssigning = true;
--- a/serving/loadcoordinator.h
+++ b/serving/loadcoordinator.h
@@ -75,6 +75,8 @@
     void onNewLife(const ReplicaId &replica);
     void onAsk(const AdapterAsk &ask);
     void onUse(const HostId &from, const AdapterUseReport &report);
+    /** Takes news of other owners; a hub passes them on. */
+    void onNews(const HostId &from, const ResidencyBatch &batch);
     /** Orders and tells what is due. */
     void tick();
 
@@ -118,10 +120,14 @@
     void followProof();
     /** Drops the orders of replicas that left or that another host orders now; they are no loads any more. */
     void dropOrders();
+    /** Tells what this host's replicas hold, and passes on what it heard. */
     void tellNews();
+    void sendNews(const std::set<HostId> &hosts, const std::vector<ResidencyNews> &news);
     void sendTo(const HostId &host, const Message &message);
+    /** @return adapters that the weight store gives out at full speed. */
+    int64_t fullSpeedLoads(const PoolId &pool) const;
     std::vector<Placeable> replicasToOwn() const;
-    std::vector<Placeable> liveHosts() const;
+    std::vector<Placeable> liveHubs() const;
     std::vector<HostId> lostOwners() const;
 
     LoadContext m_context;
@@ -132,6 +138,9 @@
     std::map<ReplicaId, Millis> m_ownedSince; ///< When this host first saw itself as a replica's owner.
     std::map<std::pair<ReplicaId, std::string>, Millis> m_askedAt; ///< Adapters asked for lately.
     std::set<ReplicaId> m_usedReplicas; ///< Those that owners were last told of.
+    std::vector<ResidencyNews> m_newsForHubs; ///< Of owners that are no hubs.
+    std::vector<ResidencyNews> m_newsForMembers; ///< For the hosts that this one speaks for.
+    Millis m_membersToldAt {0};
     Millis m_modelLoadAt {0};
     bool m_isAssigning = false;
 };
--- a/serving/recordmirror.cpp
+++ b/serving/recordmirror.cpp
@@ -53,7 +53,8 @@
 
 void RecordMirror::tick()
 {
-    if (m_call != 0 || m_clock.now() < m_nextAt) {
+    const Millis now = m_clock.now();
+    if (m_call != 0 || now < m_nextAt || now - m_changedAt < m_pace.gap) {
         return;
     }
     if (m_mustList) {
@@ -157,7 +158,7 @@
     m_asOf = std::max(m_asOf, read.asOf);
     m_provenAt = std::max(m_provenAt, sentAt);
     if (!read.records.empty()) {
-        m_nextAt = m_clock.now() + m_pace.gap;
+        m_changedAt = m_clock.now();
         apply(std::move(read.records));
     }
 }
@@ -187,6 +188,7 @@
 
 void RecordMirror::succeed()
 {
+    m_answeredAt = m_clock.now();
     if (m_failures > 0) {
         m_failures = 0;
         m_recoveredAt = m_clock.now();
--- a/serving/recordmirror.h
+++ b/serving/recordmirror.h
@@ -46,7 +46,7 @@
     {
         m_pace = pace;
     }
-    /** Asks at once instead of waiting for the present watch; at most every few tens of milliseconds. */
+    /** Asks at once instead of waiting for the present watch or the gap; at most every few tens of milliseconds. */
     void refresh();
 
     /** @return the store's revision up to which changes are known. */
@@ -64,6 +64,11 @@
     {
         return m_provenAt;
     }
+    /** @return when a call was answered last; negative if none was. */
+    Millis answeredAt() const
+    {
+        return m_answeredAt;
+    }
     /** @return whether the last call was answered. */
     bool isReachable() const
     {
@@ -104,8 +109,10 @@
     bool m_mustList = true;
     uint64_t m_call = 0;
     Millis m_callSentAt;
-    Millis m_nextAt;
+    Millis m_nextAt; ///< After a failed call, the end of the pause.
+    Millis m_changedAt {INT64_MIN / 2}; ///< When an answer with changes came last.
     Millis m_provenAt {-1};
+    Millis m_answeredAt {-1};
     Millis m_recoveredAt {-1};
     int m_failures = 0;
 };
--- a/serving/replicaorders.cpp
+++ b/serving/replicaorders.cpp
@@ -15,8 +15,6 @@
 // From the users' sheet: an adapter from the weight store takes 250 ms, one that the replica held lately a tenth.
 constexpr Millis slowLoadTime(250);
 constexpr Millis fastLoadTime(25);
-// Loads from the weight store that run at full speed over all replicas, by the same sheet; beyond it all take longer.
-constexpr int64_t fullSpeedLoads = 16;
 constexpr int64_t mostInTransit = 4; // adapters that a replica takes in at a time, by the platform's protocol
 // Reports are some hundred milliseconds old; after this pause they show every order that was accepted before.
 constexpr Millis reportLag(400);
@@ -27,7 +25,7 @@
 constexpr Millis useLifetime(700); // reports come five times a second; some are lost
 // An adapter stays for a moment after a load, so that those who waited for it get their turn.
 constexpr Millis shortestStay(150);
-constexpr Millis newsInterval(500);
+constexpr Millis newsInterval(1000);
 constexpr size_t mostRemembered = 64; // adapters, somewhat below what a replica's memory keeps on the known engines
 // A base model is looked for in reports from its load time on; they lag, but not all by the same.
 constexpr Millis modelReportLag(150);
@@ -236,14 +234,15 @@
 void ReplicaOrders::orderLoad(const OrderTerms &terms, const std::string &weights, Millis now)
 {
     const int64_t version = terms.versions.newest(weights);
-    const int64_t crowd = terms.fleetLoads;
-    sendOrder(terms, true, weights, [this, weights, version, crowd, now](OrderResult result) {
-        onLoadResult(result, weights, version, crowd, now);
+    const int64_t crowd = std::max(terms.fleetLoads, terms.fullSpeedLoads);
+    const Millis slowTime(slowLoadTime.value * crowd / std::max<int64_t>(terms.fullSpeedLoads, 1));
+    sendOrder(terms, true, weights, [this, weights, version, slowTime, now](OrderResult result) {
+        onLoadResult(result, weights, version, slowTime, now);
         m_onIdle();
     });
 }
 
-void ReplicaOrders::onLoadResult(OrderResult result, const std::string &weights, int64_t version, int64_t crowd,
+void ReplicaOrders::onLoadResult(OrderResult result, const std::string &weights, int64_t version, Millis slowTime,
                                  Millis now)
 {
     if (!noteResult(result, now)) {
@@ -253,8 +252,7 @@
     Place place {version, now, now, false, false};
     if (result == OrderResult::Accepted) {
         place.isSlow = isReplacement || !isRemembered(weights);
-        const Millis slow = crowd > fullSpeedLoads ? Millis(slowLoadTime.value * crowd / fullSpeedLoads) : slowLoadTime;
-        place.readyAt = now + (place.isSlow ? slow : fastLoadTime);
+        place.readyAt = now + (place.isSlow ? slowTime : fastLoadTime);
     }
     m_places[weights] = place;
     m_wants.erase(weights);
@@ -356,7 +354,7 @@
     m_nextAt = now;
 }
 
-std::optional<ResidencyNews> ReplicaOrders::takeNews(const Backend &backend, Millis now)
+std::optional<ResidencyNews> ReplicaOrders::takeNews(const Backend &backend, const HostId &owner, Millis now)
 {
     const bool isKnown = m_count || !m_places.empty();
     if (!isKnown || (!m_hasNews && now - m_newsAt < newsInterval)) {
@@ -364,7 +362,7 @@
     }
     m_hasNews = false;
     m_newsAt = now;
-    ResidencyNews news {m_replica, backend.holdings.bornAt, ++m_sequence, {}};
+    ResidencyNews news {m_replica, owner, backend.holdings.bornAt, ++m_sequence, {}};
     for (const std::string &model : m_models) {
         news.adapters.push_back({model, 0, 0});
     }
--- a/serving/replicaorders.h
+++ b/serving/replicaorders.h
@@ -35,6 +35,7 @@
     Epoch fence;
     bool mayLoadModel = false; ///< Whether the weight store's rate has room for a base model.
     int64_t fleetLoads = 0; ///< Adapters on their way from the weight store to any replica, as far as is known.
+    int64_t fullSpeedLoads = 1; ///< So many of them don't slow each other down.
 };
 
 /**
@@ -65,7 +66,7 @@
     bool step(const OrderTerms &terms, Millis now);
 
     /** @return news to tell if something changed or the last news are old. */
-    std::optional<ResidencyNews> takeNews(const Backend &backend, Millis now);
+    std::optional<ResidencyNews> takeNews(const Backend &backend, const HostId &owner, Millis now);
     /** @return loads that are on their way from the weight store. */
     int64_t slowLoads(Millis now) const;
     /** @return whether a base model is being loaded. */
@@ -107,7 +108,7 @@
     bool orderModel(const OrderTerms &terms, Millis now);
     void orderLoad(const OrderTerms &terms, const std::string &weights, Millis now);
     void orderUnload(const OrderTerms &terms, const std::string &weights, Millis now);
-    void onLoadResult(OrderResult result, const std::string &weights, int64_t version, int64_t crowd, Millis now);
+    void onLoadResult(OrderResult result, const std::string &weights, int64_t version, Millis slowTime, Millis now);
     void onUnloadResult(OrderResult result, const std::string &weights, Millis now);
     /** @return whether the result leaves the replica's state known. */
     bool noteResult(OrderResult result, Millis now);
--- a/serving/residencymap.cpp
+++ b/serving/residencymap.cpp
@@ -9,9 +9,9 @@
 namespace
 {
 
-// The host that orders a replica's loads repeats its news twice a second; after some of them are missing, service
+// The host that orders a replica's loads repeats its news every second; after some of them are missing, service
 // discovery is the better source.
-constexpr Millis newsLifetime(2500);
+constexpr Millis newsLifetime(3500);
 
 }
 
@@ -39,17 +39,17 @@
     replace(backend.id, replica, held);
 }
 
-void ResidencyMap::onNews(const HostId &from, const ResidencyNews &news, Millis now)
+bool ResidencyMap::onNews(const ResidencyNews &news, Millis now)
 {
     Replica &replica = m_replicas[news.replica];
     if (news.bornAt < replica.bornAt) {
-        return;
+        return false;
     }
-    if (replica.newsFrom == from && replica.bornAt == news.bornAt && news.sequence <= replica.newsSequence) {
-        return;
+    if (replica.newsFrom == news.owner && replica.bornAt == news.bornAt && news.sequence <= replica.newsSequence) {
+        return false;
     }
     replica.bornAt = news.bornAt;
-    replica.newsFrom = from;
+    replica.newsFrom = news.owner;
     replica.newsSequence = news.sequence;
     replica.newsAt = now;
     std::map<std::string, Residence> held;
@@ -62,6 +62,7 @@
         held[adapter.weights] = place;
     }
     replace(news.replica, replica, held);
+    return true;
 }
 
 void ResidencyMap::replace(const ReplicaId &id, Replica &replica, const std::map<std::string, Residence> &held)
--- a/serving/residencymap.h
+++ b/serving/residencymap.h
@@ -36,8 +36,8 @@
 public:
     /** Takes what service discovery tells, if nothing newer is known of this life of the replica. */
     void onDiscovered(const Backend &backend, Millis now);
-    /** Takes news from the host that orders the replica's loads. */
-    void onNews(const HostId &from, const ResidencyNews &news, Millis now);
+    /** Takes news of the host that orders the replica's loads. @return whether they are newer than what is known. */
+    bool onNews(const ResidencyNews &news, Millis now);
     /** The replica denied holding the adapter. */
     void onMissing(const ReplicaId &replica, const std::string &weights);
     /** The replica is still busy with the adapter; it can be used a little later. */
--- a/serving/servingnode.cpp
+++ b/serving/servingnode.cpp
@@ -4,7 +4,6 @@
 #include "core/clock.h"
 #include "core/error.h"
 #include "core/eventlog.h"
-#include "core/hash.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -15,25 +14,11 @@
 namespace
 {
 
-// How long the store holds a watch of the configuration. The first host asks most often, and its proof that the
-// configuration is the newest reaches the others with its beats; theirs show that they reach the store themselves.
-constexpr Millis firstConfigWait(1200);
-constexpr Millis otherConfigWait(2500);
-constexpr Millis longWait(10000);
 constexpr Millis configGap(20);
-// Replicas write often, mostly about adapters, which the hosts tell each other sooner. The first host follows closely
-// and names the changes that matter in its beats; the others ask then, and on their own within the time in which a
-// leaving replica may get work.
-constexpr Millis firstBackendGap(400);
-constexpr Millis otherBackendGap(1400);
 constexpr Millis versionGap(300);
-constexpr Millis coordinationGap(100);
-// A proof older than this is renewed at once; half of the usual bound on withdrawn keys.
-constexpr Millis proofRefresh(2200);
+constexpr Millis coordinationGap(400);
 // Kept between the end of a proof and its use, for a request's way to its replica.
 constexpr Millis trustMargin(300);
-// A host whose own calls of the store have failed for so long sends callers elsewhere.
-constexpr Millis storeSilence(3500);
 
 constexpr Millis beatInterval(100);
 constexpr Millis useInterval(200);
@@ -65,17 +50,19 @@
     {
         node.onBeat(from, beat);
     }
-    void operator()(const ResidencyNews &news) const
+    void operator()(const ResidencyBatch &batch) const
     {
-        node.m_residency.onNews(from, news, node.m_ports.clock.now());
+        node.m_loads.onNews(from, batch);
     }
     void operator()(const AdapterAsk &ask) const
     {
         node.m_loads.onAsk(ask);
     }
-    void operator()(const AdapterUseReport &report) const
+    void operator()(const AdapterUseBatch &batch) const
     {
-        node.m_loads.onUse(from, report);
+        for (const AdapterUseReport &report : batch.reports) {
+            node.m_loads.onUse(from, report);
+        }
     }
     template<class Other>
     void operator()(const Other & /*message*/) const
@@ -97,28 +84,29 @@
     , m_requestLog(m_ports.log, m_ports.metrics)
     , m_dispatcher({m_ports.clock, m_ports.callers, m_ports.attempts, m_admission, m_backends, m_residency, m_versions,
                     m_chooser, m_requestLog, m_settings.domain})
-    , m_configuration(m_ports.store, Collection::Configuration, {otherConfigWait, configGap}, m_ports.clock, m_random,
-                      m_ports.log,
+    , m_configuration(m_ports.store, Collection::Configuration, {hubPace.configWait, configGap}, m_ports.clock,
+                      m_random, m_ports.log,
                       [this](const std::vector<StoredRecord> &records) {
                           onConfiguration(records);
                       })
-    , m_backendRecords(m_ports.store, Collection::Backends, {longWait, firstBackendGap}, m_ports.clock, m_random,
-                       m_ports.log,
+    , m_backendRecords(m_ports.store, Collection::Backends, {hubPace.longWait, hubPace.backendGap}, m_ports.clock,
+                       m_random, m_ports.log,
                        [this](const std::vector<StoredRecord> &records) {
                            onBackends(records);
                        })
-    , m_versionRecords(m_ports.store, Collection::AdapterVersions, {longWait, versionGap}, m_ports.clock, m_random,
-                       m_ports.log,
+    , m_versionRecords(m_ports.store, Collection::AdapterVersions, {hubPace.longWait, versionGap}, m_ports.clock,
+                       m_random, m_ports.log,
                        [this](const std::vector<StoredRecord> &records) {
                            onVersions(records);
                        })
-    , m_coordination(m_ports.store, Collection::Coordination, {longWait, coordinationGap}, m_ports.clock, m_random,
-                     m_ports.log,
+    , m_coordination(m_ports.store, Collection::Coordination, {hubPace.longWait, coordinationGap}, m_ports.clock,
+                     m_random, m_ports.log,
                      [this](const std::vector<StoredRecord> &records) {
                          onCoordination(records);
                      })
     , m_loads({m_settings, m_ports.clock, m_ports.store, m_ports.peers, m_ports.orders, m_ports.log, m_admission,
                m_members, m_backends, m_residency, m_versions, m_coordination})
+    , m_beats({m_settings, m_ports.clock, m_ports.peers, m_ports.log, m_members, m_admission, m_backends})
     , m_registry(m_settings, m_ports.clock, m_ports.store, m_ports.log, m_members, m_coordination)
     , m_startedAt(m_ports.clock.now())
 {
@@ -258,15 +246,7 @@
     if (!m_members.onBeat(from, beat, now)) {
         return;
     }
-    m_backends.setPeerUse(from, beat.uses);
-    for (auto &[team, quota] : m_admission.quotas()) {
-        const uint32_t name = shortHash(team.text());
-        for (const TeamUse &use : beat.teams) {
-            if (use.team == name) {
-                quota.onReport(from, beat.incarnation.text(), use.admitted, now);
-            }
-        }
-    }
+    m_beats.take(from, beat);
     if (beat.configuration.revision > m_configRevision && m_configuration.isLoaded()) {
         m_configuration.refresh();
     } else if (beat.configuration.revision == m_configRevision) {
@@ -290,10 +270,12 @@
                            "proven " + std::to_string((now - m_configProvenAt).value) + " ms ago");
     }
     m_wasTrusted = isTrusted;
-    const bool isFirst = m_members.isFirst(now);
-    m_configuration.setPace({isFirst ? firstConfigWait : otherConfigWait, configGap});
-    m_backendRecords.setPace({longWait, isFirst ? firstBackendGap : otherBackendGap});
-    if (now - m_configProvenAt > proofRefresh && m_configuration.isLoaded()) {
+    const StorePace &pace = storePace();
+    m_configuration.setPace({pace.configWait, configGap});
+    m_backendRecords.setPace({pace.longWait, pace.backendGap});
+    m_versionRecords.setPace({pace.longWait, versionGap});
+    m_coordination.setPace({pace.longWait, coordinationGap});
+    if (now - m_configProvenAt > pace.proofRefresh && m_configuration.isLoaded()) {
         m_configuration.refresh();
     }
 }
@@ -337,58 +319,49 @@
     return {revision, provenAt.value < 0 ? -1 : (now - provenAt).value};
 }
 
-HostBeat ServingNode::makeBeat() const
+const StorePace &ServingNode::storePace() const
 {
     const Millis now = m_ports.clock.now();
+    if (m_members.isFirst(now)) {
+        return firstPace;
+    }
+    const HostId speaker = m_members.speakerOf(m_settings.host);
+    const auto hub = m_members.peers().find(speaker);
+    const bool isSpokenFor = speaker != m_settings.host && hub != m_members.peers().end()
+        && m_members.isHeard(speaker, now) && hub->second.sign.reachesStore;
+    return isSpokenFor ? memberPace : hubPace;
+}
+
+bool ServingNode::reachesStore() const
+{
+    const StorePace &pace = storePace();
+    const Millis contactAt = pace.isContactByAnswer ? m_configuration.answeredAt() : m_configuration.provenAt();
+    return m_ports.clock.now() - contactAt < pace.contactLimit;
+}
+
+HostBeat ServingNode::makeBeat() const
+{
     HostBeat beat;
     beat.incarnation = m_members.incarnation();
     beat.isReady = isReady();
     beat.isStopping = m_drainStartedAt.value >= 0;
-    beat.reachesStore = m_configuration.isReachable() && now - m_configuration.provenAt() < storeSilence;
+    beat.reachesStore = m_configuration.isReachable() && reachesStore();
     beat.slowLoads = static_cast<uint16_t>(m_loads.slowLoads());
     beat.modelLoads = static_cast<uint16_t>(m_loads.modelLoads());
     beat.backendsRevision = m_backendsRevision;
     beat.configuration = proofOf(m_configRevision, m_configProvenAt);
     beat.owners = proofOf(m_loads.revision(), m_loads.provenAt());
-    beat.uses = m_backends.ownUse();
-    for (const auto &[team, quota] : m_admission.quotas()) {
-        if (quota.isLimited()) {
-            beat.teams.push_back({shortHash(team.text()), quota.admitted()});
-        }
-    }
     return beat;
 }
 
 void ServingNode::sendBeats()
 {
-    const Millis now = m_ports.clock.now();
-    HostBeat beat = makeBeat();
-    beat.sequence = m_members.beginRound(now);
-    const int64_t hosts = m_members.hostCount();
-    int64_t silent = 0;
-    std::string live = m_settings.host.text();
-    for (const auto &[host, member] : m_members.peers()) {
-        beat.echoed = member.beat.sequence;
-        m_ports.peers.send(member.peerAddress, beat);
-        if (!m_members.isLive(host, now)) {
-            ++silent;
-            m_backends.setPeerUse(host, {});
-        } else {
-            live += " " + host.text();
-        }
-    }
-    for (auto &[team, quota] : m_admission.quotas()) {
-        quota.setHosts(hosts, silent, now);
-    }
+    m_beats.send(makeBeat());
     // Nine tenths of the bound: what is on its way at a window's edges counts in both.
     constexpr double safety = 0.9;
     m_dispatcher.setRetryBounds(m_settings.retryRatio * safety,
-                                m_settings.retryAllowance * safety / static_cast<double>(hosts),
+                                m_settings.retryAllowance * safety / static_cast<double>(m_members.hostCount()),
                                 m_settings.retryWindow);
-    if (live != m_liveHosts) {
-        m_liveHosts = live;
-        m_ports.log.record(EventCode::HostListChanged, m_settings.host.text(), live);
-    }
 }
 
 void ServingNode::onRequest(ClientRequest request)
@@ -431,12 +404,12 @@
         || !m_coordination.isLoaded()) {
         return false;
     }
-    if (now - m_configuration.provenAt() < storeSilence) {
+    if (reachesStore()) {
         return true;
     }
     // Without a way of its own to the store the host steps back, unless all the others are in the same state.
     return std::none_of(m_members.peers().begin(), m_members.peers().end(), [&](const auto &entry) {
-        return m_members.isLive(entry.first, now) && entry.second.beat.reachesStore;
+        return m_members.isLive(entry.first, now) && entry.second.sign.reachesStore;
     });
 }
 
@@ -453,13 +426,13 @@
             {"vanillaspar_owners_proof_age_seconds", ageOf(m_loads.provenAt())},
             {"vanillaspar_adapter_loads", static_cast<double>(m_loads.slowLoads())},
             {"vanillaspar_model_loads", static_cast<double>(m_loads.modelLoads())},
-            {"vanillaspar_listed_hosts", static_cast<double>(callerAddresses().size())},
+            {"vanillaspar_listed_hosts", static_cast<double>(callerAddresses(m_settings.domain).size())},
             {"vanillaspar_ready", isReady() ? 1.0 : 0.0}};
 }
 
-std::vector<std::string> ServingNode::callerAddresses() const
+std::vector<std::string> ServingNode::callerAddresses(const DomainId &domain) const
 {
-    return m_members.callerAddresses(isReady(), m_ports.clock.now());
+    return m_members.callerAddresses(domain, isReady(), m_ports.clock.now());
 }
 
 }
--- a/serving/servingnode.h
+++ b/serving/servingnode.h
@@ -7,6 +7,7 @@
 #include "serving/adapterversions.h"
 #include "serving/admission.h"
 #include "serving/backendtable.h"
+#include "serving/beatexchange.h"
 #include "serving/dispatcher.h"
 #include "serving/enginechooser.h"
 #include "serving/fleetmembers.h"
@@ -16,6 +17,7 @@
 #include "serving/requestlog.h"
 #include "serving/residencymap.h"
 #include "serving/servingsettings.h"
+#include "serving/storepace.h"
 
 #include <functional>
 #include <map>
@@ -97,8 +99,8 @@
     bool isReady() const;
     /** @return figures of the present state for the metrics page: name and value. */
     std::vector<std::pair<std::string, double>> gauges() const;
-    /** @return addresses that callers should use. */
-    std::vector<std::string> callerAddresses() const;
+    /** @return addresses that callers in a failure domain should use. */
+    std::vector<std::string> callerAddresses(const DomainId &domain) const;
 
 private:
     friend struct FleetMessageHandler;
@@ -112,6 +114,10 @@
     void followTrust();
     void sendBeats();
     bool mayAssignOwners() const;
+    /** @return how closely this host should follow the store at present. */
+    const StorePace &storePace() const;
+    bool reachesStore() const;
+    /** @return what a beat tells of this host alone. */
     HostBeat makeBeat() const;
     RecordProof proofOf(int64_t revision, Millis provenAt) const;
 
@@ -131,6 +137,7 @@
     RecordMirror m_versionRecords;
     RecordMirror m_coordination;
     LoadCoordinator m_loads;
+    BeatExchange m_beats;
     HostRegistry m_registry;
     std::map<ReplicaId, Millis> m_lapsed; ///< Replicas whose entries went missing right after a store outage.
     int64_t m_configRevision = 0;
@@ -142,7 +149,6 @@
     Millis m_assignAt {0};
     Millis m_drainStartedAt {-1};
     bool m_wasTrusted = false;
-    std::string m_liveHosts; ///< As told in the log last.
 };
 
 }
--- a/serving/servingsettings.h
+++ b/serving/servingsettings.h
@@ -15,6 +15,7 @@
     DomainId domain;
     std::string peerAddress; ///< IP number and port for datagrams of other hosts.
     std::string callerAddress; ///< What callers are told to connect to.
+    double capacity = 1; ///< Processor cores of this host.
     Millis revokeLimit {5000}; ///< A withdrawn key must not work longer than this.
     Millis orderLease {3000}; ///< Orders of two hosts to one replica must be further apart than this.
     Millis versionLimit {5000}; ///< An older version of an adapter must not be used longer than this.
--- a/tests/serving/dispatchertest.cpp
+++ b/tests/serving/dispatchertest.cpp
@@ -172,7 +172,7 @@
     m_dispatcher.onCallerGone(1);
     EXPECT_TRUE(m_attempts.sent[0].isCancelled);
     EXPECT_EQ(m_dispatcher.openCount(), 0U);
-    EXPECT_EQ(m_backends.find(m_attempts.sent[0].replica)->ownRunning, 0);
+    EXPECT_EQ(m_backends.find(m_attempts.sent[0].replica)->own.running, 0);
 }
 
 TEST_F(DispatcherTest, EveryRequestHasAFinalAnswerAtItsRoutesTimeout)
@@ -194,7 +194,7 @@
     send(1, "/s/x", "m/a9"); // not resident: it waits
     ASSERT_TRUE(m_attempts.sent.empty());
     pass(300);
-    m_residency.onNews(HostId("h"), {ReplicaId("e1"), 1, 1, {{"m", 0, 0}, {"m/a9", 1, 0}}}, m_clock.now());
+    m_residency.onNews({ReplicaId("e1"), HostId("h"), 1, 1, {{"m", 0, 0}, {"m/a9", 1, 0}}}, m_clock.now());
     pass(10);
     ASSERT_EQ(m_attempts.sent.size(), 1U);
     EXPECT_EQ(m_attempts.sent[0].terms.timeLeft, Millis(5000 - 310));
@@ -248,7 +248,7 @@
     ServingConfig config = makeConfig();
     config.teamByKey.clear();
     m_admission.setConfig(std::make_shared<ServingConfig>(config), m_clock.now());
-    m_residency.onNews(HostId("h"), {ReplicaId("e1"), 1, 1, {{"m", 0, 0}, {"m/a9", 1, 0}}}, m_clock.now());
+    m_residency.onNews({ReplicaId("e1"), HostId("h"), 1, 1, {{"m", 0, 0}, {"m/a9", 1, 0}}}, m_clock.now());
     pass(10);
     EXPECT_TRUE(m_attempts.sent.empty());
     EXPECT_EQ(answer(1).refusal->code, RefusalCode::Unauthenticated);
--- a/tests/serving/recordmirrortest.cpp
+++ b/tests/serving/recordmirrortest.cpp
@@ -125,6 +125,33 @@
     EXPECT_EQ(m_store.reads[0].wait, Millis(1));
 }
 
+TEST_F(RecordMirrorTest, RefreshDoesNotWaitForTheGap)
+{
+    // Found by reading: a host that was told of a leaving replica asked only after the gap since the last change.
+    load();
+    m_mirror.setPace({Millis(5000), Millis(20000)});
+    m_mirror.tick();
+    m_store.answer(kind, {StoreResult::Done, {record("y", 20)}, false, 20});
+    pass(100);
+    m_mirror.tick();
+    EXPECT_TRUE(m_store.reads.empty());
+    m_mirror.refresh();
+    EXPECT_EQ(m_store.reads.size(), 1U);
+}
+
+TEST_F(RecordMirrorTest, AShorterGapIsInForceAtOnce)
+{
+    // The hub that told of changes is gone: the host has to look for itself now, not after the long gap.
+    load();
+    m_mirror.setPace({Millis(5000), Millis(20000)});
+    m_mirror.tick();
+    m_store.answer(kind, {StoreResult::Done, {record("y", 20)}, false, 20});
+    pass(1500);
+    m_mirror.setPace({Millis(5000), Millis(1400)});
+    m_mirror.tick();
+    EXPECT_EQ(m_store.reads.size(), 1U);
+}
+
 }
 
 }
--- a/tests/serving/replicaorderstest.cpp
+++ b/tests/serving/replicaorderstest.cpp
@@ -131,7 +131,7 @@
     ASSERT_EQ(m_port.orders.size(), 1U);
     EXPECT_EQ(m_port.orders[0].order.weights, "m/a2");
     m_port.answer(OrderResult::Accepted);
-    const std::optional<ResidencyNews> news = m_orders->takeNews(m_backend, m_now);
+    const std::optional<ResidencyNews> news = m_orders->takeNews(m_backend, HostId("h1"), m_now);
     ASSERT_TRUE(news);
     for (const ResidentAdapter &adapter : news->adapters) {
         EXPECT_EQ(adapter.readyIn > 0, adapter.weights == "m/a2");
--- a/tests/serving/servingnodetest.cpp
+++ b/tests/serving/servingnodetest.cpp
@@ -130,7 +130,7 @@
     load();
     EXPECT_TRUE(m_node->isReady());
     EXPECT_TRUE(isServed());
-    EXPECT_EQ(m_node->callerAddresses(), std::vector<std::string> {"10.0.0.1:8000"});
+    EXPECT_EQ(m_node->callerAddresses(DomainId("a")), std::vector<std::string> {"10.0.0.1:8000"});
 }
 
 TEST_F(ServingNodeTest, WithoutProofKeysAreRefusedWithinTheLimit)
@@ -320,15 +320,15 @@
     load();
     pass(100, true);
     m_node->onPeerMessage(HostId("h2"), beat(1, 10, 0));
-    EXPECT_EQ(m_node->callerAddresses().size(), 2U);
+    EXPECT_EQ(m_node->callerAddresses(DomainId("a")).size(), 2U);
     HostBeat stopping = beat(2, 10, 0);
     stopping.isStopping = true;
     m_node->onPeerMessage(HostId("h2"), stopping);
-    EXPECT_EQ(m_node->callerAddresses().size(), 1U);
+    EXPECT_EQ(m_node->callerAddresses(DomainId("a")).size(), 1U);
     m_node->onPeerMessage(HostId("h2"), beat(3, 10, 0));
-    EXPECT_EQ(m_node->callerAddresses().size(), 2U);
+    EXPECT_EQ(m_node->callerAddresses(DomainId("a")).size(), 2U);
     pass(800, true);
-    EXPECT_EQ(m_node->callerAddresses().size(), 1U);
+    EXPECT_EQ(m_node->callerAddresses(DomainId("a")).size(), 1U);
 }
 
 TEST_F(ServingNodeTest, ALostHostsRecordIsRemovedAndWrittenAgainByItsHost)
