Call the store less where nothing is gained by it

Now the table is written at most every 1.5 s, only owners renew their proof, and a host that a hub speaks for follows hints at most every 700 ms, within the bound on leaving replicas. A replica that is no longer in the table also loses the time since when this host owns it.

Ruled out: configuration watches (8 s each; 752 calls) and the four lists at the start.

--- a/serving/loadcoordinator.cpp
+++ b/serving/loadcoordinator.cpp
@@ -34,6 +34,8 @@
 // A host orders for so long on its last proof that it is a replica's owner; it covers the usual outages of the store.
 constexpr Millis orderHold(7000);
 constexpr Millis takeoverMargin(300);
+// Between two changes of the table, which every host reads: replicas that start together get their owners together.
+constexpr Millis assignSpacing(1500);
 // Adapters that the weight store gives out at full speed, by the users' sheets: 24 and 16 for 18 and 12 replicas, 88
 // and 80 for 89 and 90.
 constexpr int64_t leastFullSpeedLoads = 16;
@@ -65,10 +67,13 @@
     for (const auto &[replica, entry] : m_owners.entries()) {
         if (entry.host == m_context.settings.host) {
             m_ownedSince.emplace(replica, m_context.clock.now());
-        } else {
-            m_ownedSince.erase(replica);
         }
     }
+    for (auto entry = m_ownedSince.begin(); entry != m_ownedSince.end();) {
+        const OwnerEntry *owner = m_owners.find(entry->first);
+        const bool isOwn = owner != nullptr && owner->host == m_context.settings.host;
+        entry = isOwn ? std::next(entry) : m_ownedSince.erase(entry);
+    }
 }
 
 void LoadCoordinator::onPeerProof(int64_t revision, Millis provenAt)
@@ -83,7 +88,9 @@
 void LoadCoordinator::followProof()
 {
     m_provenAt = std::max(m_provenAt, m_context.coordination.provenAt());
-    if (m_context.clock.now() - m_provenAt > orderHold / 2 && m_context.coordination.isLoaded()) {
+    // Who orders nothing needs no proof of its own.
+    if (!m_ownedSince.empty() && m_context.clock.now() - m_provenAt > orderHold / 2
+        && m_context.coordination.isLoaded()) {
         m_context.coordination.refresh();
     }
 }
@@ -407,11 +414,13 @@
 void LoadCoordinator::assignOwners()
 {
     OwnerTable next = m_owners;
-    if (m_isAssigning || m_context.admission.config() == nullptr
+    const Millis now = m_context.clock.now();
+    if (m_isAssigning || now - m_assignedAt < assignSpacing || m_context.admission.config() == nullptr
         || !next.assign(replicasToOwn(), liveHubs(), lostOwners())) {
         return;
     }
     m_isAssigning = true;
+    m_assignedAt = now;
     const auto known = m_context.coordination.records().find(ownersRecord);
     const int64_t revision = known == m_context.coordination.records().end() ? 0 : known->second.revision;
     m_context.store.write(Collection::Coordination, ownersRecord, next.toJson(), revision, [this](StoreResult result) {
--- a/serving/loadcoordinator.h
+++ b/serving/loadcoordinator.h
@@ -142,6 +142,7 @@
     std::vector<ResidencyNews> m_newsForMembers; ///< For the hosts that this one speaks for.
     Millis m_membersToldAt {0};
     Millis m_modelLoadAt {0};
+    Millis m_assignedAt {INT64_MIN / 2}; ///< When this host last changed the table.
     bool m_isAssigning = false;
 };
 
--- a/serving/servingnode.cpp
+++ b/serving/servingnode.cpp
@@ -252,7 +252,8 @@
     } else if (beat.configuration.revision == m_configRevision) {
         m_configProvenAt = std::max(m_configProvenAt, m_members.proofTime(beat, beat.configuration));
     }
-    if (beat.backendsRevision > m_backendRecords.asOf() && m_backendRecords.isLoaded()) {
+    if (beat.backendsRevision > m_backendRecords.asOf() && m_backendRecords.isLoaded()
+        && now - m_backendRecords.answeredAt() >= storePace().hintSpacing) {
         m_backendRecords.refresh();
     }
     m_loads.onPeerProof(beat.owners.revision, m_members.proofTime(beat, beat.owners));
