--- a/main/vanillaspard.cpp
+++ b/main/vanillaspard.cpp
@@ -28,7 +28,7 @@
 void runDaemon(DaemonSettings settings)
 {
     settings.node.seed = randomSeed();
-    LogFile log(settings.logFormat, settings.logFile);
+    LogFile log(settings.logFormat, settings.logFile, settings.node.host.text());
     Loop loop;
     std::unique_ptr<Node> node;
     PrometheusMetrics metrics;
@@ -58,11 +58,13 @@
             log.record(EventCode::NodeDrained, settings.node.host.text(), "every request answered");
             loop.stop();
         }
+        log.flush();
     });
     loop.onTerminate([&] {
         node->beginDrain();
     });
     loop.run();
+    log.flush();
 }
 
 }
--- a/main/vanillasparentry.cpp
+++ b/main/vanillasparentry.cpp
@@ -33,7 +33,7 @@
 {
     std::string text = readFile(path);
     EntrySettings settings = EntrySettings::fromYaml(text, path);
-    LogFile log(settings.logFormat, "");
+    LogFile log(settings.logFormat, "", settings.serving.host.text());
     Loop loop;
     const BootClock clock;
     HttpUpstream upstream(loop, clock);
@@ -84,6 +84,7 @@
             log.record(EventCode::NodeDrained, settings.serving.host.text(), "every request answered");
             loop.stop();
         }
+        log.flush();
     });
     loop.every(settingsInterval, reload);
     loop.onReload(reload);
@@ -92,6 +93,7 @@
         callers.ingress().beginClosing();
     });
     loop.run();
+    log.flush();
     // Everything is answered and nothing here outlives the process. The libraries' own threads need not be waited for:
     // where only one thread runs at a time, that kept the listening sockets open until the process was killed.
     std::quick_exit(0);
--- a/serving/admission.cpp
+++ b/serving/admission.cpp
@@ -54,6 +54,7 @@
         return Refusal {RefusalCode::Unconfirmed, RunState::NotRun, confirmRetry, "no configuration yet"};
     }
     Admitted admitted;
+    admitted.config = m_config->version;
     admitted.route = m_routes->find(request.host, request.path());
     if (admitted.route == nullptr) {
         return Refusal {RefusalCode::UnknownRoute, RunState::NotRun, Millis(0), "no route for the host and path"};
@@ -79,7 +80,10 @@
         FleetQuota &quota = m_quotas[admitted.team->id];
         if (!quota.take(admitted.cost, now)) {
             return Refusal {RefusalCode::OverRate, RunState::NotRun, quota.waitForRoom(now),
-                            "team " + admitted.team->id.text() + " is over its rate"};
+                            "team " + admitted.team->id.text()
+                                + " is over its rate: tokens=" + std::to_string(static_cast<int64_t>(quota.level(now)))
+                                + " cost=" + std::to_string(static_cast<int64_t>(admitted.cost))
+                                + " config=" + std::to_string(m_config->version.value)};
         }
     }
     return admitted;
@@ -92,7 +96,9 @@
     }
     if (now >= m_trustedUntil) {
         return Refusal {RefusalCode::Unconfirmed, RunState::NotRun, confirmRetry,
-                        "the configuration can't be confirmed to be the newest"};
+                        "the configuration can't be confirmed to be the newest: config="
+                            + std::to_string(m_config->version.value)
+                            + " late_ms=" + std::to_string((now - m_trustedUntil).value)};
     }
     if (m_config->teamByKey.count(request.key) == 0) {
         return Refusal {RefusalCode::Unauthenticated, RunState::NotRun, Millis(0), "the key is missing or unknown"};
--- a/serving/admission.h
+++ b/serving/admission.h
@@ -25,6 +25,7 @@
 /** What admission decided for a request. */
 struct Admitted
 {
+    ConfigVersion config; ///< The configuration that allows it.
     const Route *route = nullptr;
     const Pool *pool = nullptr;
     const Team *team = nullptr; ///< Whose key came with it, if any.
--- a/serving/dispatcher.cpp
+++ b/serving/dispatcher.cpp
@@ -50,6 +50,7 @@
     auto flow = std::make_unique<Flow>();
     flow->request = std::move(request);
     flow->route = admitted.route->name;
+    flow->config = admitted.config;
     flow->kind = admitted.route->kind;
     flow->isPublic = admitted.route->isPublic;
     flow->maxReplicas = admitted.route->maxReplicas;
@@ -103,12 +104,12 @@
 {
     const Millis now = m_context.clock.now();
     if (!m_isAccepting) {
-        reject(request, {RefusalCode::ShuttingDown, RunState::NotRun, stoppingRetry, "this host is stopping"});
+        reject(request, nullptr, {RefusalCode::ShuttingDown, RunState::NotRun, stoppingRetry, "this host is stopping"});
         return;
     }
     const std::variant<Admitted, Refusal> decision = m_context.admission.admit(request, now);
     if (const Refusal *refusal = std::get_if<Refusal>(&decision)) {
-        reject(request, *refusal);
+        reject(request, nullptr, *refusal);
         return;
     }
     std::unique_ptr<Flow> owned = makeFlow(std::move(request), std::get<Admitted>(decision));
@@ -118,9 +119,9 @@
     settle(flow);
 }
 
-void Dispatcher::reject(const ClientRequest &request, const Refusal &refusal)
+void Dispatcher::reject(const ClientRequest &request, const Flow *flow, const Refusal &refusal)
 {
-    m_context.log.onRefused(request, refusal, m_context.clock.now());
+    m_context.log.onRefused(request, refusal, flow, m_context.clock.now());
     m_context.callers.refuse(request.exchange, refusal);
 }
 
@@ -130,17 +131,18 @@
         return;
     }
     const Millis now = m_context.clock.now();
-    const Millis wait = expectedWait(flow);
+    const int64_t ahead = aheadOf(flow);
+    const Millis wait = m_waitEstimates[flow.pool].forQueue(ahead);
     if (now + wait > flow.request.receivedAt + flow.objective * waitingPart) {
         refuse(flow,
                {RefusalCode::Overloaded, RunState::NotRun, std::max(wait, overloadRetry),
-                "expected wait " + std::to_string(wait.value) + " ms"});
+                "expected wait " + std::to_string(wait.value) + " ms behind " + std::to_string(ahead) + " requests"});
         return;
     }
     m_waiting.insert(waitingKeyOf(flow));
 }
 
-Millis Dispatcher::expectedWait(const Flow &flow)
+int64_t Dispatcher::aheadOf(const Flow &flow) const
 {
     int64_t ahead = 0;
     for (const auto &[priority, exchange] : m_waiting) {
@@ -149,7 +151,7 @@
         }
         ahead += m_flows.at(exchange)->pool == flow.pool ? 1 : 0;
     }
-    return m_waitEstimates[flow.pool].forQueue(ahead);
+    return ahead;
 }
 
 Dispatcher::Placement Dispatcher::place(Flow &flow)
@@ -169,6 +171,7 @@
     }
     const ReplicaChoice choice
         = flow.isEngine ? m_context.chooser.choose(flow, *engine, now) : m_services.choose(flow, now);
+    flow.shortage = choice.shortage;
     if (!choice.isPossible) {
         refuse(flow, {RefusalCode::NoReplica, RunState::NotRun, noReplicaRetry, "no replica of the pool takes work"});
         return Placement::Ended;
@@ -192,6 +195,7 @@
     flow.attempt = m_nextAttempt++;
     flow.replica = backend.info.id;
     flow.sentAt = now;
+    flow.replicaLoad = backend.slotLoad();
     flow.verdict = AttemptVerdict::None;
     ++flow.sendCount;
     m_exchangeByAttempt[flow.attempt] = flow.request.exchange;
@@ -415,7 +419,7 @@
     if (flow.team && refusal.runState == RunState::NotRun) {
         m_context.admission.giveBack(*flow.team, flow.cost, now);
     }
-    reject(flow.request, refusal);
+    reject(flow.request, &flow, refusal);
     erase(flow);
 }
 
--- a/serving/dispatcher.h
+++ b/serving/dispatcher.h
@@ -108,13 +108,13 @@
         Ended, ///< It was refused.
     };
 
-    /** Refuses a request that is no flow yet. */
-    void reject(const ClientRequest &request, const Refusal &refusal);
+    /** Tells the log and the caller. @param flow nullptr if the request was not admitted. */
+    void reject(const ClientRequest &request, const Flow *flow, const Refusal &refusal);
     Placement place(Flow &flow);
     void send(Flow &flow, BackendState &backend);
     void settle(Flow &flow);
-    /** @return how long a request that joins the queue now would wait. */
-    Millis expectedWait(const Flow &flow);
+    /** @return waiting requests that go before this one. */
+    int64_t aheadOf(const Flow &flow) const;
     static WaitingKey waitingKeyOf(const Flow &flow);
     void tryElsewhere(Flow &flow, bool countsAsRepeat, RefusalCode code, const std::string &why);
     void onRejected(Flow &flow);
--- a/serving/enginechooser.cpp
+++ b/serving/enginechooser.cpp
@@ -60,8 +60,8 @@
                                 }),
                  usable.end());
     const Holders holders = lookAtHolders(flow, usable, engine, now);
-    ReplicaChoice choice {holders.best, nullptr, !usable.empty()};
-    if (!holders.isOneComing && holders.leastLoad >= spreadLoad) {
+    ReplicaChoice choice {holders.best, nullptr, !usable.empty(), holders.shortage};
+    if (!holders.shortage.isOneComing && holders.leastLoad >= spreadLoad) {
         choice.loadOn = nextHome(flow.request.weights, usable, engine, holders.best == nullptr, now);
     }
     return choice;
@@ -72,7 +72,7 @@
 {
     const int64_t required = m_versions.required(flow.request.weights, now);
     const std::map<ReplicaId, Residence> &places = m_residency.holders(flow.request.weights);
-    Holders holders {nullptr, noHolder, false};
+    Holders holders {nullptr, noHolder, {}};
     double best = 0;
     for (BackendState *state : usable) {
         const auto place = places.find(state->info.id);
@@ -80,9 +80,10 @@
             continue;
         }
         if (place->second.readyAt > now || place->second.version < required) {
-            holders.isOneComing = holders.isOneComing || place->second.readyAt > now;
+            holders.shortage.isOneComing = holders.shortage.isOneComing || place->second.readyAt > now;
             continue;
         }
+        ++holders.shortage.holders;
         const double load = loadOf(*state, engine);
         if (now >= state->avoidUntil) {
             holders.leastLoad = std::min(holders.leastLoad, load);
--- a/serving/enginechooser.h
+++ b/serving/enginechooser.h
@@ -43,7 +43,7 @@
     {
         BackendState *best = nullptr; ///< The one to send to; nullptr if none has room.
         double leastLoad; ///< Of those that aren't avoided.
-        bool isOneComing = false; ///< Whether the adapter is being loaded somewhere.
+        Shortage shortage;
     };
 
     Holders lookAtHolders(const Flow &flow, const std::vector<BackendState *> &usable, const EngineSpec &engine,
--- a/serving/flow.h
+++ b/serving/flow.h
@@ -3,6 +3,7 @@
 #include "core/ids.h"
 #include "core/units.h"
 #include "serving/clientrequest.h"
+#include "serving/replicachoice.h"
 #include "serving/servingconfig.h"
 
 #include <cstdint>
@@ -27,6 +28,7 @@
 {
     ClientRequest request;
     RouteName route;
+    ConfigVersion config; ///< The one that it was admitted by.
     RequestKind kind = RequestKind::NonIdempotent;
     bool isPublic = false;
     int maxReplicas = 1;
@@ -45,6 +47,8 @@
     uint64_t attempt = 0; ///< 0 while it waits.
     ReplicaId replica; ///< Where the attempt is.
     Millis sentAt;
+    double replicaLoad = 0; ///< Of the replica when it was chosen, in parts of its batch.
+    Shortage shortage; ///< At the last look for a replica.
     Millis answeredAt {-1}; ///< When the start of the answer was passed on; negative before.
     AttemptVerdict verdict = AttemptVerdict::None;
     int sendCount = 0;
--- a/serving/replicachoice.h
+++ b/serving/replicachoice.h
@@ -8,12 +8,20 @@
 
 struct BackendState;
 
+/** Why an adapter's replicas could not take a request, as far as they are known here. */
+struct Shortage
+{
+    int holders = 0; ///< Replicas that hold the adapter, with or without room.
+    bool isOneComing = false; ///< Whether the adapter is being loaded somewhere.
+};
+
 /** Where a request can go now. */
 struct ReplicaChoice
 {
     BackendState *backend = nullptr; ///< Send it there; nullptr if no replica that could run it has room.
     BackendState *loadOn = nullptr; ///< Ask for its adapter there; nullptr if that would not help.
     bool isPossible = true; ///< Whether any replica of the pool may get work at all.
+    Shortage shortage;
 };
 
 /** What makes a replica a worse choice than its load says, in parts of a full replica. */
--- a/serving/requestlog.cpp
+++ b/serving/requestlog.cpp
@@ -15,11 +15,22 @@
     = 25; // of each event; a few hundred lines a second at most, however many requests fail
 constexpr uint64_t servedSample = 100; // one line for so many answers in time
 
+/** @return what was decided for a request and from what, as fields. */
 std::string describe(const Flow &flow, Millis now)
 {
-    return "route=" + flow.route.text() + " replica=" + flow.replica.text() + " weights=" + flow.request.weights
-        + " priority=" + std::to_string(flow.priority) + " sends=" + std::to_string(flow.sendCount)
-        + " age_ms=" + std::to_string((now - flow.request.receivedAt).value)
+    const bool isSent = flow.sendCount > 0;
+    std::string text = "route=" + flow.route.text() + " config=" + std::to_string(flow.config.value)
+        + " priority=" + std::to_string(flow.priority) + " weights=" + flow.request.weights
+        + " sends=" + std::to_string(flow.sendCount);
+    if (isSent) {
+        text += " replica=" + flow.replica.text() + " replica_load=" + std::to_string(flow.replicaLoad)
+            + " waited_ms=" + std::to_string((flow.sentAt - flow.request.receivedAt).value);
+    }
+    if (flow.isEngine) {
+        text += " holders=" + std::to_string(flow.shortage.holders)
+            + " load_coming=" + (flow.shortage.isOneComing ? "yes" : "no");
+    }
+    return text + " age_ms=" + std::to_string((now - flow.request.receivedAt).value)
         + " left_ms=" + std::to_string((flow.endAt - now).value);
 }
 
@@ -63,21 +74,22 @@
     const bool isLate = flow.answeredAt > flow.objectiveAt;
     if ((isLate || m_served++ % servedSample == 0) && mayWrite(EventCode::RequestServed, {}, now)) {
         m_log.record(EventCode::RequestServed, flow.request.id.text(),
-                     describe(flow, now) + " waited_ms=" + std::to_string((flow.sentAt - flow.request.receivedAt).value)
+                     describe(flow, now)
                          + " answer_after_ms=" + std::to_string((flow.answeredAt - flow.request.receivedAt).value)
                          + (isLate ? " late=yes" : " late=no"));
     }
 }
 
-void RequestLog::onRefused(const ClientRequest &request, const Refusal &refusal, Millis now)
+void RequestLog::onRefused(const ClientRequest &request, const Refusal &refusal, const Flow *flow, Millis now)
 {
     m_metrics.onRefused(refusal.code);
     if (mayWrite(EventCode::RequestRefused, refusal.code, now)) {
         m_log.record(EventCode::RequestRefused, request.id.text(),
                      "code=" + std::string(refusalName(refusal.code))
                          + " run=" + std::string(runStateName(refusal.runState))
-                         + " retry_after_ms=" + std::to_string(refusal.retryAfter.value) + " weights=" + request.weights
-                         + " age_ms=" + std::to_string((now - request.receivedAt).value) + " why=" + refusal.detail);
+                         + " retry_after_ms=" + std::to_string(refusal.retryAfter.value) + " "
+                         + (flow != nullptr ? describe(*flow, now) : "sends=0 weights=" + request.weights)
+                         + " why=" + refusal.detail);
     }
 }
 
--- a/serving/requestlog.h
+++ b/serving/requestlog.h
@@ -29,7 +29,8 @@
     RequestLog(EventLog &log, RequestMetrics &metrics);
 
     void onServed(const Flow &flow, Millis now);
-    void onRefused(const ClientRequest &request, const Refusal &refusal, Millis now);
+    /** @param flow the request's course after its admission; nullptr if it was not admitted. */
+    void onRefused(const ClientRequest &request, const Refusal &refusal, const Flow *flow, Millis now);
     /** A request was sent and came to no complete answer. */
     void onFailed(const Flow &flow, const std::string &why, Millis now);
     void onRetried(const Flow &flow, const std::string &why, Millis now);
