Resume a broken stream at another replica where its route allows it

Cause: a stream whose replica broke off was broken off too, also on routes that allow to resume it; one that was lost before its first event was refused as of unknown outcome, though such a route lets it run again.

Now such a stream is passed on by whole events. When it breaks off, the rest of an event is dropped and the stream goes on behind the last event at another replica, within the route's replicas, the retry budget and 600 ms; its head and signature stay the first replica's. What can't be resumed is broken off as before.

--- a/serving/attemptport.h
+++ b/serving/attemptport.h
@@ -20,6 +20,7 @@
     std::optional<TeamId> team; ///< For whom it runs; nothing on a public route without a key.
     int priority = 0; ///< 0 is the most urgent.
     bool isRepeatable = false;
+    std::string resumeAfter; ///< Id of the last event that the caller has; empty starts the stream anew.
 };
 
 /** The start of a replica's answer, with what it says about the request's execution. */
--- a/serving/dispatcher.cpp
+++ b/serving/dispatcher.cpp
@@ -27,6 +27,7 @@
 constexpr double givingUpPart = 1.5;
 constexpr Millis shortestWait(200); // for routes whose objective is shorter than a replica's hiccup
 constexpr Millis usualWait(300); // for a load from the weight store, on its way and back
+constexpr Millis resumeWait(600); // callers leave a stream after some seconds without an event
 constexpr int mostSends = 4; // of one request; each is cheap to refuse, but counts against the retry budget
 constexpr Millis repeatPause(25); // before a request goes to a replica that has just refused it
 constexpr Millis overloadRetry(300); // about the time a batch needs to end a few of its requests
@@ -53,6 +54,7 @@
     flow->config = admitted.config;
     flow->kind = admitted.route->kind;
     flow->isPublic = admitted.route->isPublic;
+    flow->isResumable = admitted.route->kind == RequestKind::Stream && admitted.route->isResumable;
     flow->maxReplicas = admitted.route->maxReplicas;
     flow->priority = admitted.priority;
     flow->pool = admitted.pool->id;
@@ -130,6 +132,10 @@
     if (place(flow) != Placement::Waits) {
         return;
     }
+    if (flow.isAnswering()) {
+        m_waiting.insert(waitingKeyOf(flow)); // until resumeWait is over
+        return;
+    }
     const Millis now = m_context.clock.now();
     const int64_t ahead = aheadOf(flow);
     const Millis wait = m_waitEstimates[flow.pool].forQueue(ahead);
@@ -202,7 +208,7 @@
     flow.unread = flow.request.promptTokens.value;
     m_context.backends.onSent(backend.info.id, flow.tokens, flow.unread);
     m_context.attempts.send(flow.attempt, backend.info, flow.request,
-                            {flow.endAt - now, flow.team, flow.priority, flow.isRepeatable()});
+                            {flow.endAt - now, flow.team, flow.priority, flow.isRepeatable(), flow.events.lastId()});
 }
 
 Dispatcher::WaitingKey Dispatcher::waitingKeyOf(const Flow &flow)
@@ -309,6 +315,11 @@
         flow->verdict = AttemptVerdict::Failed;
         return;
     }
+    if (flow->isAnswering()) {
+        // A resumed stream keeps the start of its first answer; another failure can't be told in it.
+        flow->verdict = isSuccess ? AttemptVerdict::None : AttemptVerdict::Failed;
+        return;
+    }
     flow->answeredAt = m_context.clock.now();
     m_context.backends.onRead(flow->replica, flow->unread);
     flow->unread = 0;
@@ -318,8 +329,16 @@
 void Dispatcher::onAttemptBody(uint64_t attempt, std::string_view data)
 {
     Flow *flow = findByAttempt(attempt);
-    if (flow != nullptr && flow->isAnswering()) {
+    if (flow == nullptr || !flow->isAnswering() || flow->verdict != AttemptVerdict::None) {
+        return;
+    }
+    if (!flow->isResumable) {
         m_context.callers.append(flow->request.exchange, data);
+        return;
+    }
+    const std::string events = flow->events.take(data);
+    if (!events.empty()) {
+        m_context.callers.append(flow->request.exchange, events);
     }
 }
 
@@ -335,12 +354,11 @@
         m_context.backends.onFailure(flow->replica, true, now);
         flow->avoided.insert(flow->replica);
         tryElsewhere(*flow, false, RefusalCode::NoReplica, "the replica could not be reached");
-    } else if (flow->isAnswering()) {
+    } else if (flow->isAnswering() && flow->verdict == AttemptVerdict::None) {
         if (how == UpstreamEnd::Complete) {
             complete(*flow);
         } else {
-            m_context.backends.onFailure(flow->replica, false, now);
-            breakOff(*flow, "the replica broke its answer off");
+            onBrokenOff(*flow);
         }
     } else if (flow->verdict == AttemptVerdict::None || flow->verdict == AttemptVerdict::Failed) {
         onLost(*flow);
@@ -375,6 +393,19 @@
     tryElsewhere(flow, true, RefusalCode::Overloaded, "the replica refused the request without running it");
 }
 
+void Dispatcher::onBrokenOff(Flow &flow)
+{
+    m_context.backends.onFailure(flow.replica, false, m_context.clock.now());
+    flow.ranOn.insert(flow.replica);
+    if (!flow.isResumable || static_cast<int>(flow.ranOn.size()) >= flow.maxReplicas) {
+        breakOff(flow, "the replica broke its answer off");
+        return;
+    }
+    flow.events.dropRest();
+    flow.giveUpAt = std::min(m_context.clock.now() + resumeWait, flow.endAt);
+    tryElsewhere(flow, true, RefusalCode::OutcomeUnknown, "the stream goes on behind event " + flow.events.lastId());
+}
+
 void Dispatcher::onLost(Flow &flow)
 {
     const Millis now = m_context.clock.now();
@@ -405,12 +436,20 @@
 {
     m_context.backends.onSuccess(flow.replica);
     m_context.log.onServed(flow, m_context.clock.now());
+    const std::string rest = flow.events.takeRest();
+    if (!rest.empty()) {
+        m_context.callers.append(flow.request.exchange, rest);
+    }
     m_context.callers.finish(flow.request.exchange);
     erase(flow);
 }
 
 void Dispatcher::refuse(Flow &flow, Refusal refusal)
 {
+    if (flow.isAnswering()) {
+        breakOff(flow, refusal.detail); // of a stream that could not be resumed
+        return;
+    }
     const Millis now = m_context.clock.now();
     if (refusal.runState == RunState::NotRun && flow.mayHaveRun()) {
         refusal = {RefusalCode::OutcomeUnknown, RunState::Unknown, Millis(0),
--- a/serving/dispatcher.h
+++ b/serving/dispatcher.h
@@ -118,6 +118,8 @@
     static WaitingKey waitingKeyOf(const Flow &flow);
     void tryElsewhere(Flow &flow, bool countsAsRepeat, RefusalCode code, const std::string &why);
     void onRejected(Flow &flow);
+    /** The attempt ended after the start of its answer was passed on. */
+    void onBrokenOff(Flow &flow);
     void onLost(Flow &flow);
     void complete(Flow &flow);
     /** @param refusal says "not run" of the present state; an earlier attempt that may have run is taken into account.
--- a/serving/flow.h
+++ b/serving/flow.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/eventcutter.h"
 #include "core/ids.h"
 #include "core/units.h"
 #include "serving/clientrequest.h"
@@ -31,6 +32,7 @@
     ConfigVersion config; ///< The one that it was admitted by.
     RequestKind kind = RequestKind::NonIdempotent;
     bool isPublic = false;
+    bool isResumable = false; ///< It is a stream that may go on at another replica.
     int maxReplicas = 1;
     int priority = 0;
     PoolId pool;
@@ -50,6 +52,7 @@
     double replicaLoad = 0; ///< Of the replica when it was chosen, in parts of its batch.
     Shortage shortage; ///< At the last look for a replica.
     Millis answeredAt {-1}; ///< When the start of the answer was passed on; negative before.
+    EventCutter events; ///< Of a stream that may be resumed.
     AttemptVerdict verdict = AttemptVerdict::None;
     int sendCount = 0;
     std::set<ReplicaId> ranOn; ///< Replicas that it may have run on.
@@ -69,7 +72,7 @@
     /** @return whether it may run more than once. */
     bool isRepeatable() const
     {
-        return kind == RequestKind::Idempotent;
+        return kind == RequestKind::Idempotent || isResumable;
     }
 };
 
--- a/tests/fakes/servingfakes.h
+++ b/tests/fakes/servingfakes.h
@@ -338,7 +338,12 @@
                 2,
                 true,
                 false};
-    config.routes = {stream, book, look, open};
+    Route resume = stream;
+    resume.name = RouteName("resume");
+    resume.pathPrefix = "/r/";
+    resume.maxReplicas = 2;
+    resume.isResumable = true;
+    config.routes = {stream, book, look, open, resume};
     Team team;
     team.id = TeamId("house");
     config.teams = {team};
--- a/tests/serving/dispatchertest.cpp
+++ b/tests/serving/dispatchertest.cpp
@@ -189,6 +189,56 @@
     EXPECT_EQ(m_dispatcher.openCount(), 0U);
 }
 
+TEST_F(DispatcherTest, AResumableStreamGoesOnBehindTheLastWholeEvent)
+{
+    send(1, "/r/x", "m/a1");
+    const uint64_t first = m_attempts.sent.at(0).attempt;
+    head(first, 200, true);
+    m_dispatcher.onAttemptBody(first, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda");
+    pass(3000); // longer than a request may wait for its first replica
+    m_dispatcher.onAttemptEnd(first, UpstreamEnd::Broken);
+    ASSERT_EQ(m_attempts.sent.size(), 2U);
+    EXPECT_NE(m_attempts.sent[1].replica, m_attempts.sent[0].replica);
+    EXPECT_EQ(m_attempts.sent[1].terms.resumeAfter, "2");
+    const uint64_t second = m_attempts.sent[1].attempt;
+    head(second, 200, true);
+    m_dispatcher.onAttemptBody(second, "id: 3\ndata: c\n\n");
+    m_dispatcher.onAttemptEnd(second, UpstreamEnd::Complete);
+    EXPECT_EQ(answer(1).body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+    EXPECT_TRUE(answer(1).isFinished);
+}
+
+TEST_F(DispatcherTest, AStreamThatCantBeResumedIsNeverMadeToLookComplete)
+{
+    send(1, "/r/x", "m/a1");
+    const uint64_t first = m_attempts.sent.at(0).attempt;
+    head(first, 200, true);
+    m_dispatcher.onAttemptBody(first, "id: 1\ndata: a\n\n");
+    m_dispatcher.onAttemptEnd(first, UpstreamEnd::Broken);
+    const uint64_t second = m_attempts.sent.at(1).attempt;
+    head(second, 500, true);
+    m_dispatcher.onAttemptBody(second, "an error page");
+    m_dispatcher.onAttemptEnd(second, UpstreamEnd::Complete);
+    EXPECT_EQ(m_attempts.sent.size(), 2U) << "the route allows two replicas";
+    EXPECT_EQ(answer(1).body, "id: 1\ndata: a\n\n");
+    EXPECT_TRUE(answer(1).isAborted);
+    EXPECT_FALSE(answer(1).refusal);
+}
+
+TEST_F(DispatcherTest, AResumableStreamThatFindsNoRoomIsBrokenOffSoon)
+{
+    send(1, "/r/x", "m/a1");
+    const uint64_t first = m_attempts.sent.at(0).attempt;
+    head(first, 200, true);
+    m_dispatcher.onAttemptBody(first, "id: 1\ndata: a\n\n");
+    const std::string other = m_attempts.sent[0].replica == ReplicaId("e1") ? "e2" : "e1";
+    m_residency.onMissing(ReplicaId(other), "m/a1");
+    m_dispatcher.onAttemptEnd(first, UpstreamEnd::Broken);
+    EXPECT_FALSE(answer(1).isAborted) << "the adapter may still be loaded in time";
+    pass(700);
+    EXPECT_TRUE(answer(1).isAborted);
+}
+
 TEST_F(DispatcherTest, TheReplicaIsToldWhatIsLeft)
 {
     send(1, "/s/x", "m/a9"); // not resident: it waits
--- a/tests/serving/requeststorytest.cpp
+++ b/tests/serving/requeststorytest.cpp
@@ -80,10 +80,10 @@
     }
     void sendRequest()
     {
-        static const char *const targets[] = {"/s/x", "/b/x", "/l/x", "/nowhere/x"};
+        static const char *const targets[] = {"/s/x", "/r/x", "/b/x", "/l/x", "/nowhere/x"};
         static const char *const adapters[] = {"m/a1", "m/a1", "m/a9"};
-        const std::string target = targets[m_random.below(4)];
-        const bool isStream = target == "/s/x";
+        const std::string target = targets[m_random.below(5)];
+        const bool isStream = target == "/s/x" || target == "/r/x";
         ClientRequest request
             = makeRequest(++m_exchange, target, isStream ? adapters[m_random.below(3)] : "", m_clock.now());
         if (m_random.below(20) == 0) {
@@ -142,7 +142,7 @@
             return;
         case 4: // the caller leaves
             ++truth.runs;
-            truth.hasLeft = m_callers.answers.count(sent.exchange) == 0;
+            truth.hasLeft = isOpen(sent.exchange);
             m_dispatcher.onCallerGone(sent.exchange);
             return;
         case 5: // no answer before the deadline
@@ -156,6 +156,14 @@
         }
     }
 
+    /** @return whether the caller still waits for the end of its answer. */
+    bool isOpen(uint64_t exchange) const
+    {
+        const auto answer = m_callers.answers.find(exchange);
+        return answer == m_callers.answers.end()
+            || (!answer->second.isFinished && !answer->second.isAborted && !answer->second.refusal);
+    }
+
     /** Reads the log as an engineer would: by the request's id. */
     std::map<std::string, Story> readLog() const
     {
