--- a/cluster/messages/fleet.h
+++ b/cluster/messages/fleet.h
@@ -93,13 +93,14 @@
     RecordProof owners;
     std::vector<ReplicaUse> uses;
     std::vector<TeamUse> teams;
+    std::vector<uint32_t> leaving; ///< Short hashes of replicas that began to leave in the last seconds.
     std::vector<HostSign> told; ///< Hosts that the sender tells of, itself not among them.
 
     template<class Archive>
     void serialize(Archive &archive)
     {
         archive(incarnation, scope, sequence, echoed, isReady, isStopping, reachesStore, slowLoads, modelLoads,
-                backendsRevision, configuration, owners, uses, teams, told);
+                backendsRevision, configuration, owners, uses, teams, leaving, told);
     }
 };
 
--- a/serving/backendtable.cpp
+++ b/serving/backendtable.cpp
@@ -20,6 +20,8 @@
 constexpr int mostDoublings = 4;
 // A removed server answers what it has for some seconds more.
 constexpr Millis goneRetention(30000);
+// Longer than any host goes without a beat before it looks at the entries itself.
+constexpr Millis leavingNews(5000);
 
 }
 
@@ -41,6 +43,10 @@
         state->avoidUntil = Millis(0);
     }
     state->isGone = false;
+    state->isToldLeaving = false;
+    if (!backend.isLeaving) {
+        state->leavingSince = Millis(-1);
+    }
     state->info = std::move(backend);
     return isNewLife;
 }
@@ -51,7 +57,38 @@
     if (state != nullptr && !state->isGone) {
         state->isGone = true;
         state->goneAt = now;
+        noteLeaving(id, now);
+    }
+}
+
+void BackendTable::noteLeaving(const ReplicaId &id, Millis now)
+{
+    BackendState *state = find(id);
+    if (state != nullptr && state->leavingSince.value < 0) {
+        state->leavingSince = now;
+    }
+}
+
+const BackendState *BackendTable::onToldLeaving(uint32_t shortId, Millis now)
+{
+    const auto entry = m_byShortId.find(shortId);
+    if (entry == m_byShortId.end() || !entry->second->isUsable()) {
+        return nullptr;
+    }
+    entry->second->isToldLeaving = true;
+    noteLeaving(entry->second->info.id, now);
+    return entry->second;
+}
+
+std::vector<uint32_t> BackendTable::leavingLately(Millis now) const
+{
+    std::vector<uint32_t> leaving;
+    for (const auto &[id, state] : m_backends) {
+        if (state->leavingSince.value >= 0 && now - state->leavingSince < leavingNews) {
+            leaving.push_back(state->shortId);
+        }
     }
+    return leaving;
 }
 
 std::vector<ReplicaId> BackendTable::forgetGone(Millis now)
--- a/serving/backendtable.h
+++ b/serving/backendtable.h
@@ -26,6 +26,8 @@
     Millis avoidUntil {0}; ///< Not to be chosen until then while another one can be.
     int consecutiveFailures = 0;
     bool isGone = false; ///< Its entry was removed.
+    bool isToldLeaving = false; ///< Another host says that it leaves; its entry here doesn't say so yet.
+    Millis leavingSince {-1}; ///< When it was first known to leave; negative if it doesn't.
     Millis goneAt;
 
     int64_t running() const
@@ -40,7 +42,7 @@
     /** @return whether new work may be sent. */
     bool isUsable() const
     {
-        return !info.isLeaving && !isGone;
+        return !info.isLeaving && !isGone && !isToldLeaving;
     }
 };
 
@@ -52,6 +54,16 @@
     bool upsert(Backend backend);
     /** The server's entry was removed: it gets no new work. */
     void remove(const ReplicaId &id, Millis now);
+    /** The server says that it leaves, in its entry. */
+    void noteLeaving(const ReplicaId &id, Millis now);
+    /**
+     * Another host says that a server leaves.
+     *
+     * @return the server if that is news, or nullptr.
+     */
+    const BackendState *onToldLeaving(uint32_t shortId, Millis now);
+    /** @return short ids of servers that began to leave in the last seconds. */
+    std::vector<uint32_t> leavingLately(Millis now) const;
     /** Forgets servers that were removed and have nothing left to answer. @return which. */
     std::vector<ReplicaId> forgetGone(Millis now);
 
--- a/serving/servingnode.cpp
+++ b/serving/servingnode.cpp
@@ -175,7 +175,12 @@
                 m_ports.log.record(EventCode::ReplicaLeaving, id.text(), "it says that it leaves");
             }
             m_residency.onDiscovered(backend, now);
-            if (m_backends.upsert(std::move(backend))) {
+            const bool isLeaving = backend.isLeaving;
+            const bool isNewLife = m_backends.upsert(std::move(backend));
+            if (isLeaving) {
+                m_backends.noteLeaving(id, now);
+            }
+            if (isNewLife) {
                 m_ports.log.record(EventCode::ReplicaRestarted, id.text(), "a new life under the same id");
                 m_loads.onNewLife(id);
             }
@@ -252,6 +257,11 @@
     } else if (beat.configuration.revision == m_configRevision) {
         m_configProvenAt = std::max(m_configProvenAt, m_members.proofTime(beat, beat.configuration));
     }
+    for (const uint32_t shortId : beat.leaving) {
+        if (const BackendState *state = m_backends.onToldLeaving(shortId, now)) {
+            m_ports.log.record(EventCode::ReplicaLeaving, state->info.id.text(), "told by " + from.text());
+        }
+    }
     if (beat.backendsRevision > m_backendRecords.asOf() && m_backendRecords.isLoaded()
         && now - m_backendRecords.answeredAt() >= storePace().hintSpacing) {
         m_backendRecords.refresh();
@@ -350,6 +360,7 @@
     beat.slowLoads = static_cast<uint16_t>(m_loads.slowLoads());
     beat.modelLoads = static_cast<uint16_t>(m_loads.modelLoads());
     beat.backendsRevision = m_backendsRevision;
+    beat.leaving = m_backends.leavingLately(m_ports.clock.now());
     beat.configuration = proofOf(m_configRevision, m_configProvenAt);
     beat.owners = proofOf(m_loads.revision(), m_loads.provenAt());
     return beat;
--- a/serving/storepace.h
+++ b/serving/storepace.h
@@ -11,7 +11,8 @@
     Millis configWait; ///< How long the store may hold a watch of the configuration.
     Millis longWait; ///< The same for the other records.
     Millis backendGap; ///< Between two watches of the replicas, which write often and mostly about adapters.
-    Millis hintSpacing; ///< Between two such watches if a beat tells of a change that matters.
+    Millis
+        hintSpacing; ///< Between two such watches if a beat tells of a change; that a replica leaves it tells itself.
     Millis proofRefresh; ///< A proof of the configuration older than this is renewed at once.
     Millis contactLimit; ///< A host that hasn't reached the store for so long sends callers elsewhere.
     bool isContactByAnswer; ///< Whether contact counts from the last answer, or from the last proof, which is older.
@@ -24,7 +25,7 @@
 inline constexpr StorePace hubPace {Millis(2500), Millis(10000), Millis(1400), Millis(0),
                                     Millis(2200), Millis(3500),  false};
 // Hosts that a hub speaks for ask only when they hear of a change; every call is priced, and there are many of them.
-inline constexpr StorePace memberPace {Millis(8000), Millis(25000), Millis(20000), Millis(700),
+inline constexpr StorePace memberPace {Millis(8000), Millis(25000), Millis(20000), Millis(2000),
                                        Millis(3500), Millis(12000), true};
 
 }
--- a/tests/serving/servingnodetest.cpp
+++ b/tests/serving/servingnodetest.cpp
@@ -1,5 +1,6 @@
 #include "serving/servingnode.h"
 
+#include "core/hash.h"
 #include "serving/loadcoordinator.h"
 #include "tests/fakes/servingfakes.h"
 
@@ -273,6 +274,20 @@
     EXPECT_EQ(m_orders.orders.size(), 1U);
 }
 
+TEST_F(ServingNodeTest, AReplicaGetsNoWorkFromWhenAnotherHostSaysThatItLeaves)
+{
+    load();
+    pass(100, true);
+    ASSERT_TRUE(isServed());
+    HostBeat told = beat(1, 10, 0);
+    told.leaving = {shortHash("s1")};
+    m_node->onPeerMessage(HostId("h2"), told);
+    EXPECT_FALSE(isServed()) << "its own entry may come seconds later";
+    EXPECT_EQ(lastBeat().leaving.size(), 0U);
+    pass(100, false);
+    EXPECT_EQ(lastBeat().leaving.size(), 1U) << "others may hear this host only";
+}
+
 TEST_F(ServingNodeTest, AReplicaThatLeavesWhileItLoadsItsModelIsNoLoadAnyMore)
 {
     load();
