--- a/cluster/messages/fleet.h
+++ b/cluster/messages/fleet.h
@@ -88,7 +88,7 @@
     bool reachesStore = false;
     uint16_t slowLoads = 0; ///< Adapters that the sender has ordered and that are on their way from the weight store.
     uint16_t modelLoads = 0; ///< Base models that the sender has ordered and that are being loaded.
-    int64_t backendsRevision = 0; ///< Newest change of a replica that matters for where work goes.
+    int64_t backendsRevision = 0; ///< Of the newest replica that the sender knows, or the newest life of one.
     RecordProof configuration;
     RecordProof owners;
     std::vector<ReplicaUse> uses;
--- a/serving/recordmirror.cpp
+++ b/serving/recordmirror.cpp
@@ -61,7 +61,8 @@
         m_listed.clear();
         list({});
     } else {
-        watch(m_pace.wait);
+        // After a failure the first answer tells that the store is back; a held watch would tell it late.
+        watch(m_failures > 0 ? noWait : m_pace.wait);
     }
 }
 
--- a/serving/servingnode.cpp
+++ b/serving/servingnode.cpp
@@ -158,7 +158,6 @@
                 m_lapsed.emplace(id, recoveredAt + lapseGrace);
             } else {
                 m_backends.remove(id, now);
-                m_backendsRevision = std::max(m_backendsRevision, record.revision);
                 m_ports.log.record(EventCode::ReplicaLeaving, id.text(), "its entry was removed");
             }
             continue;
@@ -167,8 +166,9 @@
             Backend backend = m_ports.decoder.backend(record);
             m_lapsed.erase(id);
             const BackendState *known = m_backends.find(id);
-            if (known == nullptr || known->info.isLeaving != backend.isLeaving
-                || known->info.holdings.bornAt != backend.holdings.bornAt) {
+            const bool isNew = known == nullptr || known->info.holdings.bornAt != backend.holdings.bornAt
+                || (!known->isUsable() && !backend.isLeaving);
+            if (isNew) {
                 m_backendsRevision = std::max(m_backendsRevision, record.revision);
             }
             if (backend.isLeaving && (known == nullptr || !known->info.isLeaving)) {
--- a/serving/servingnode.h
+++ b/serving/servingnode.h
@@ -141,7 +141,7 @@
     HostRegistry m_registry;
     std::map<ReplicaId, Millis> m_lapsed; ///< Replicas whose entries went missing right after a store outage.
     int64_t m_configRevision = 0;
-    int64_t m_backendsRevision = 0; ///< Newest change of a replica that matters for where work goes.
+    int64_t m_backendsRevision = 0; ///< Of the newest replica, or the newest life of one.
     Millis m_configProvenAt {-1};
     Millis m_startedAt;
     Millis m_beatAt {0};
--- a/serving/storepace.h
+++ b/serving/storepace.h
@@ -18,14 +18,30 @@
     bool isContactByAnswer; ///< Whether contact counts from the last answer, or from the last proof, which is older.
 };
 
-// The first host follows closely; its proofs and the revisions of changes that matter reach the others with its beats.
-inline constexpr StorePace firstPace {Millis(1200), Millis(10000), Millis(400), Millis(0),
-                                      Millis(2200), Millis(3500),  false};
+// The first host follows closely; its proofs, and what matters of the replicas, reach the others with its beats.
+inline constexpr StorePace firstPace {.configWait = Millis(1200),
+                                      .longWait = Millis(10000),
+                                      .backendGap = Millis(400),
+                                      .hintSpacing = Millis(0),
+                                      .proofRefresh = Millis(2200),
+                                      .contactLimit = Millis(3500),
+                                      .isContactByAnswer = false};
 // Hubs ask when they hear of a change, and on their own within the time in which a leaving replica may get work.
-inline constexpr StorePace hubPace {Millis(2500), Millis(10000), Millis(1400), Millis(0),
-                                    Millis(2200), Millis(3500),  false};
+inline constexpr StorePace hubPace {.configWait = Millis(2500),
+                                    .longWait = Millis(10000),
+                                    .backendGap = Millis(1400),
+                                    .hintSpacing = Millis(0),
+                                    .proofRefresh = Millis(2200),
+                                    .contactLimit = Millis(3500),
+                                    .isContactByAnswer = false};
 // Hosts that a hub speaks for ask only when they hear of a change; every call is priced, and there are many of them.
-inline constexpr StorePace memberPace {Millis(8000), Millis(25000), Millis(20000), Millis(2000),
-                                       Millis(3500), Millis(12000), true};
+// Their proofs come from the hub, so that their own way to the store matters only for the next change.
+inline constexpr StorePace memberPace {.configWait = Millis(20000),
+                                       .longWait = Millis(25000),
+                                       .backendGap = Millis(20000),
+                                       .hintSpacing = Millis(3000),
+                                       .proofRefresh = Millis(3500),
+                                       .contactLimit = Millis(30000),
+                                       .isContactByAnswer = true};
 
 }
--- a/tests/serving/recordmirrortest.cpp
+++ b/tests/serving/recordmirrortest.cpp
@@ -115,6 +115,24 @@
     EXPECT_EQ(m_log.count(EventCode::PlatformUnreachable), 1) << "told once, not for each call";
 }
 
+TEST_F(RecordMirrorTest, AfterAFailureItAsksWithoutAWait)
+{
+    // Found in incident inc-ced1: after an outage of 4.5 s a quiet collection counted as out of reach for 10 s more,
+    // until the store gave up holding the watch; no replica got a new owner for so long.
+    load();
+    m_mirror.tick();
+    m_store.answer(kind, {StoreResult::Unknown, {}, false, 0});
+    EXPECT_FALSE(m_mirror.isReachable());
+    pass(1000);
+    m_mirror.tick();
+    ASSERT_EQ(m_store.reads.size(), 1U);
+    EXPECT_EQ(m_store.reads[0].wait, Millis(1));
+    m_store.answer(kind, {StoreResult::Done, {}, false, 9});
+    EXPECT_TRUE(m_mirror.isReachable());
+    m_mirror.tick();
+    EXPECT_EQ(m_store.reads.at(0).wait, Millis(5000));
+}
+
 TEST_F(RecordMirrorTest, RefreshDoesNotWaitForTheOpenWatch)
 {
     load();
