--- a/serving/flow.h
+++ b/serving/flow.h
@@ -8,12 +8,15 @@
 #include "serving/servingconfig.h"
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <set>
 
 namespace vanillaspar::serving
 {
 
+struct Admitted;
+
 /** What a replica has said of the present attempt. */
 enum class AttemptVerdict
 {
@@ -76,4 +79,7 @@
     }
 };
 
+/** @return a flow for a request that was just admitted. */
+std::unique_ptr<Flow> makeFlow(ClientRequest request, const Admitted &admitted);
+
 }
