--- a/serving/backendtable.cpp
+++ b/serving/backendtable.cpp
@@ -43,8 +43,9 @@
         state->avoidUntil = Millis(0);
     }
     state->isGone = false;
-    state->isToldLeaving = false;
-    if (!backend.isLeaving) {
+    // The entry may be older than what a hub has told: only a new life undoes that at once.
+    state->isToldLeaving = state->isToldLeaving && !isNewLife;
+    if (!backend.isLeaving && !state->isToldLeaving) {
         state->leavingSince = Millis(-1);
     }
     state->info = std::move(backend);
@@ -80,10 +81,13 @@
     return entry->second;
 }
 
-std::vector<uint32_t> BackendTable::leavingLately(Millis now) const
+std::vector<uint32_t> BackendTable::leavingLately(Millis now)
 {
     std::vector<uint32_t> leaving;
     for (const auto &[id, state] : m_backends) {
+        if (state->isToldLeaving && now - state->leavingSince >= leavingNews) {
+            state->isToldLeaving = false; // nobody tells it any more; the entry decides
+        }
         if (state->leavingSince.value >= 0 && now - state->leavingSince < leavingNews) {
             leaving.push_back(state->shortId);
         }
--- a/serving/backendtable.h
+++ b/serving/backendtable.h
@@ -63,7 +63,7 @@
      */
     const BackendState *onToldLeaving(uint32_t shortId, Millis now);
     /** @return short ids of servers that began to leave in the last seconds. */
-    std::vector<uint32_t> leavingLately(Millis now) const;
+    std::vector<uint32_t> leavingLately(Millis now);
     /** Forgets servers that were removed and have nothing left to answer. @return which. */
     std::vector<ReplicaId> forgetGone(Millis now);
 
--- a/serving/servingnode.cpp
+++ b/serving/servingnode.cpp
@@ -350,7 +350,7 @@
     return m_ports.clock.now() - contactAt < pace.contactLimit;
 }
 
-HostBeat ServingNode::makeBeat() const
+HostBeat ServingNode::makeBeat()
 {
     HostBeat beat;
     beat.incarnation = m_members.incarnation();
--- a/serving/servingnode.h
+++ b/serving/servingnode.h
@@ -118,7 +118,7 @@
     const StorePace &storePace() const;
     bool reachesStore() const;
     /** @return what a beat tells of this host alone. */
-    HostBeat makeBeat() const;
+    HostBeat makeBeat();
     RecordProof proofOf(int64_t revision, Millis provenAt) const;
 
     ServingSettings m_settings;
--- a/tests/serving/servingnodetest.cpp
+++ b/tests/serving/servingnodetest.cpp
@@ -286,6 +286,9 @@
     EXPECT_EQ(lastBeat().leaving.size(), 0U);
     pass(100, false);
     EXPECT_EQ(lastBeat().leaving.size(), 1U) << "others may hear this host only";
+    // Found on klangnett-grown hunt-8122-3: an older entry that was read afterwards undid it.
+    m_store.answer(Collection::Backends, {StoreResult::Done, {{"s1", 21, 1, false}}, false, 21});
+    EXPECT_FALSE(isServed());
 }
 
 TEST_F(ServingNodeTest, AReplicaThatLeavesWhileItLoadsItsModelIsNoLoadAnyMore)
