--- a/net/streamsocket.cpp
+++ b/net/streamsocket.cpp
@@ -31,6 +31,15 @@
     return descriptor;
 }
 
+/** @return the error that the socket has met since the last call; 0 if none. */
+int takeError(int descriptor)
+{
+    int error = 0;
+    socklen_t length = sizeof(error);
+    getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &error, &length);
+    return error;
+}
+
 }
 
 StreamSocket::StreamSocket(Loop &loop, int descriptor, Handlers handlers)
@@ -126,10 +135,7 @@
         return;
     }
     if (!m_isConnected) {
-        int error = 0;
-        socklen_t length = sizeof(error);
-        getsockopt(m_descriptor, SOL_SOCKET, SO_ERROR, &error, &length);
-        if (error != 0) {
+        if (takeError(m_descriptor) != 0) {
             end(SocketEnd::Refused);
             return;
         }
@@ -146,10 +152,7 @@
     const size_t before = pendingBytes();
     flush();
     if (before > 0 && pendingBytes() == before) {
-        int error = 0;
-        socklen_t length = sizeof(error);
-        getsockopt(m_descriptor, SOL_SOCKET, SO_ERROR, &error, &length);
-        if (error != 0) {
+        if (takeError(m_descriptor) != 0) {
             end(SocketEnd::Reset);
             return;
         }
--- a/policy/fleetquota.cpp
+++ b/policy/fleetquota.cpp
@@ -12,6 +12,9 @@
 constexpr int debtTurns = 3;
 // Of the newest lag in a host's part of what all admit: demand moves between hosts within seconds.
 constexpr double shareWeight = 0.2;
+// Even parts of the bucket that a host may take in a lag whatever it took before: all hosts' parts then add up to two
+// and a half buckets at most, however demand has moved between them, which keeps the users' bound.
+constexpr double freeParts = 1.5;
 constexpr Millis longestWait(10000); // named to a caller when the bucket will not hold the cost at all
 
 }
@@ -122,8 +125,7 @@
         if (all > 0) {
             m_share += (std::clamp(own / all, 0.0, 1.0) - m_share) * shareWeight;
         }
-        // All hosts' parts add up to two and a half buckets at most, however demand has moved between them.
-        const double part = std::min(m_share + 1.5 / static_cast<double>(m_hosts), 1.0);
+        const double part = std::min(m_share + freeParts / static_cast<double>(m_hosts), 1.0);
         // What a large request took beyond it is not held against the small ones of the next lag.
         m_allowance = m_level * part;
         m_allowanceEndsAt = now + m_lag;
--- a/policy/fleetquota.h
+++ b/policy/fleetquota.h
@@ -55,13 +55,11 @@
     /** Gives back the cost of a request that was admitted and has not run. */
     void giveBack(double cost, Millis now);
 
-    /** @return tokens admitted by this host since its start less those given back, for its reports. */
+    /**
+     * @return tokens admitted since this host's start less those given back, for its reports; those of the hosts that
+     * it speaks for are among them.
+     */
     int64_t admitted() const
-    {
-        return m_admitted;
-    }
-    /** @return the same with what the hosts have admitted that this one speaks for. */
-    int64_t admittedForOthers() const
     {
         return m_admitted + m_spokenFor;
     }
--- a/serving/backendtable.cpp
+++ b/serving/backendtable.cpp
@@ -25,7 +25,7 @@
 
 }
 
-bool BackendTable::upsert(Backend backend)
+bool BackendTable::upsert(Backend backend, Millis now)
 {
     std::unique_ptr<BackendState> &state = m_backends[backend.id];
     const bool isNew = state == nullptr;
@@ -45,7 +45,9 @@
     state->isGone = false;
     // The entry may be older than what a hub has told: only a new life undoes that at once.
     state->isToldLeaving = state->isToldLeaving && !isNewLife;
-    if (!backend.isLeaving && !state->isToldLeaving) {
+    if (backend.isLeaving) {
+        noteLeaving(*state, now);
+    } else if (!state->isToldLeaving) {
         state->leavingSince = Millis(-1);
     }
     state->info = std::move(backend);
@@ -58,15 +60,14 @@
     if (state != nullptr && !state->isGone) {
         state->isGone = true;
         state->goneAt = now;
-        noteLeaving(id, now);
+        noteLeaving(*state, now);
     }
 }
 
-void BackendTable::noteLeaving(const ReplicaId &id, Millis now)
+void BackendTable::noteLeaving(BackendState &state, Millis now)
 {
-    BackendState *state = find(id);
-    if (state != nullptr && state->leavingSince.value < 0) {
-        state->leavingSince = now;
+    if (state.leavingSince.value < 0) {
+        state.leavingSince = now;
     }
 }
 
@@ -77,7 +78,7 @@
         return nullptr;
     }
     entry->second->isToldLeaving = true;
-    noteLeaving(entry->second->info.id, now);
+    noteLeaving(*entry->second, now);
     return entry->second;
 }
 
@@ -151,7 +152,7 @@
     }
 }
 
-std::vector<ReplicaUse> BackendTable::useWith(const std::vector<HostId> &hosts) const
+std::vector<ReplicaUse> BackendTable::useWith(const std::set<HostId> &hosts) const
 {
     Loads theirs;
     for (const HostId &host : hosts) {
--- a/serving/backendtable.h
+++ b/serving/backendtable.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -51,11 +52,9 @@
 {
 public:
     /** Adds a server or follows its change. @return whether it is a new life of a known server. */
-    bool upsert(Backend backend);
+    bool upsert(Backend backend, Millis now);
     /** The server's entry was removed: it gets no new work. */
     void remove(const ReplicaId &id, Millis now);
-    /** The server says that it leaves, in its entry. */
-    void noteLeaving(const ReplicaId &id, Millis now);
     /**
      * Another host says that a server leaves.
      *
@@ -75,7 +74,7 @@
     /** Replaces what a host has reported to use. */
     void setPeerUse(const HostId &host, const std::vector<ReplicaUse> &uses);
     /** @return this host's use with that of the hosts that it speaks for. */
-    std::vector<ReplicaUse> useWith(const std::vector<HostId> &hosts) const;
+    std::vector<ReplicaUse> useWith(const std::set<HostId> &hosts) const;
     /** @return the use of all hosts but one. */
     std::vector<ReplicaUse> useWithout(const HostId &host) const;
 
@@ -91,6 +90,8 @@
 private:
     using Loads = std::unordered_map<uint32_t, ReplicaLoad>; ///< By short id.
 
+    /** Notes that a server is known to leave, from now if it wasn't before. */
+    static void noteLeaving(BackendState &state, Millis now);
     void addPeerUse(const std::vector<ReplicaUse> &uses, int64_t sign);
     /** Adds what a host has reported to use. @param sign 1 or -1. */
     void addReported(Loads &loads, const HostId &host, int64_t sign) const;
--- a/serving/beatexchange.cpp
+++ b/serving/beatexchange.cpp
@@ -5,6 +5,7 @@
 #include "core/clock.h"
 #include "core/eventlog.h"
 #include "core/hash.h"
+#include "policy/fleetquota.h"
 #include "serving/admission.h"
 #include "serving/backendtable.h"
 #include "serving/fleetmembers.h"
@@ -48,52 +49,72 @@
     const Millis now = m_context.clock.now();
     FleetMembers &members = m_context.members;
     own.sequence = members.beginRound(own.isStopping, now);
-    const HostId &self = m_context.settings.host;
-    const std::vector<HostId> spokenFor = members.isHub(self) ? members.spokenFor(now) : std::vector<HostId>();
-    HostBeat toHubs = own;
-    fill(toHubs, HostId(), spokenFor);
+    const bool isOwnHub = members.isHub(m_context.settings.host);
+    HostBeat ofOwn = own;
+    addOwn(ofOwn);
     for (const HostId &host : members.beatTargets(now)) {
-        const FleetMember &member = members.peers().at(host);
-        const bool isBetweenHubs = members.isHub(self) && members.isHub(host);
+        const bool isBetweenHubs = isOwnHub && members.isHub(host);
         if (!isBetweenHubs && own.sequence % memberRounds != 0) {
             continue;
         }
+        const FleetMember &member = members.peers().at(host);
         const BeatScope scope = scopeFor(host);
-        HostBeat beat = scope == BeatScope::Sender ? toHubs : own;
+        HostBeat beat = scope == BeatScope::Sender ? ofOwn : own;
         beat.scope = scope;
         beat.echoed = member.beat.sequence;
         if (scope == BeatScope::AllOthers) {
-            fill(beat, host, {});
+            addAllOthers(beat, host);
         }
         m_context.peers.send(member.peerAddress, beat);
     }
     followSilence();
 }
 
-void BeatExchange::fill(HostBeat &beat, const HostId &receiver, const std::vector<HostId> &spokenFor) const
+void BeatExchange::addOwn(HostBeat &beat) const
+{
+    const std::set<HostId> spokenFor = m_context.members.spokenFor(m_context.clock.now());
+    beat.uses = m_context.backends.useWith(spokenFor);
+    addTeams(beat, [](const FleetQuota &quota) {
+        return quota.admitted();
+    });
+    for (const HostId &host : spokenFor) {
+        beat.told.push_back(m_context.members.peers().at(host).sign);
+    }
+}
+
+void BeatExchange::addAllOthers(HostBeat &beat, const HostId &receiver) const
 {
-    const bool isOfAll = !receiver.isEmpty();
     const Millis now = m_context.clock.now();
-    beat.uses = isOfAll ? m_context.backends.useWithout(receiver) : m_context.backends.useWith(spokenFor);
-    for (const auto &[team, quota] : m_context.admission.quotas()) {
-        if (quota.isLimited()) {
-            beat.teams.push_back(
-                {shortHash(team.text()), isOfAll ? quota.admittedByAllBut(receiver) : quota.admittedForOthers()});
+    beat.uses = m_context.backends.useWithout(receiver);
+    addTeams(beat, [&receiver](const FleetQuota &quota) {
+        return quota.admittedByAllBut(receiver);
+    });
+    for (const auto &[host, member] : m_context.members.peers()) {
+        if (host != receiver && m_context.members.isLive(host, now)) {
+            beat.told.push_back(member.sign);
         }
     }
-    const auto tell = [&](const HostId &host, const FleetMember &member) {
-        beat.told.push_back(
-            {shortHash(host.text()), member.sign.isReady, member.sign.isStopping, member.sign.reachesStore});
-    };
-    if (!isOfAll) {
-        for (const HostId &host : spokenFor) {
-            tell(host, m_context.members.peers().at(host));
+}
+
+template<class AdmittedOf>
+void BeatExchange::addTeams(HostBeat &beat, AdmittedOf admittedOf) const
+{
+    for (const auto &[team, quota] : m_context.admission.quotas()) {
+        if (quota.isLimited()) {
+            beat.teams.push_back({shortHash(team.text()), admittedOf(quota)});
         }
-        return;
     }
-    for (const auto &[host, member] : m_context.members.peers()) {
-        if (host != receiver && m_context.members.isLive(host, now)) {
-            tell(host, member);
+}
+
+template<class Action>
+void BeatExchange::forEachTeam(const HostBeat &beat, Action action)
+{
+    for (auto &[team, quota] : m_context.admission.quotas()) {
+        const uint32_t name = shortHash(team.text());
+        for (const TeamUse &use : beat.teams) {
+            if (use.team == name) {
+                action(quota, use.admitted);
+            }
         }
     }
 }
@@ -133,19 +154,15 @@
 {
     const FleetMembers &members = m_context.members;
     const auto speaker = members.peers().find(members.speakerOf(from));
-    const bool isHub = beat.scope == BeatScope::Sender && members.isHub(m_context.settings.host);
+    const bool mayTakeOver = beat.scope == BeatScope::Sender && members.isHub(m_context.settings.host);
     // What comes after the speaker's last beat must count if this host takes its place.
-    if (!isHub || speaker == members.peers().end() || m_context.clock.now() - speaker->second.heardAt > speakerPause) {
+    if (!mayTakeOver || speaker == members.peers().end()
+        || m_context.clock.now() - speaker->second.heardAt > speakerPause) {
         return;
     }
-    for (auto &[team, quota] : m_context.admission.quotas()) {
-        const uint32_t name = shortHash(team.text());
-        for (const TeamUse &use : beat.teams) {
-            if (use.team == name) {
-                quota.followCount(from, beat.incarnation.text(), use.admitted);
-            }
-        }
-    }
+    forEachTeam(beat, [&](FleetQuota &quota, int64_t admitted) {
+        quota.followCount(from, beat.incarnation.text(), admitted);
+    });
 }
 
 void BeatExchange::emptyQuotas()
@@ -157,16 +174,11 @@
 
 void BeatExchange::count(const HostId &from, const HostBeat &beat, bool isSpokenFor)
 {
-    m_context.backends.setPeerUse(from, beat.uses);
     const Millis now = m_context.clock.now();
-    for (auto &[team, quota] : m_context.admission.quotas()) {
-        const uint32_t name = shortHash(team.text());
-        for (const TeamUse &use : beat.teams) {
-            if (use.team == name) {
-                quota.onReport(from, beat.incarnation.text(), use.admitted, now, isSpokenFor);
-            }
-        }
-    }
+    m_context.backends.setPeerUse(from, beat.uses);
+    forEachTeam(beat, [&](FleetQuota &quota, int64_t admitted) {
+        quota.onReport(from, beat.incarnation.text(), admitted, now, isSpokenFor);
+    });
 }
 
 void BeatExchange::ignore(const HostId &host)
--- a/serving/beatexchange.h
+++ b/serving/beatexchange.h
@@ -5,13 +5,11 @@
 #include "core/units.h"
 
 #include <set>
-#include <vector>
 
 namespace vanillaspar
 {
 class Clock;
 class EventLog;
-class FleetQuota;
 class PeerLink;
 }
 
@@ -53,7 +51,15 @@
 
 private:
     BeatScope scopeFor(const HostId &receiver) const;
-    void fill(HostBeat &beat, const HostId &receiver, const std::vector<HostId> &spokenFor) const;
+    /** Adds what this host and those that it speaks for use and have admitted. */
+    void addOwn(HostBeat &beat) const;
+    /** Adds what all hosts but the receiver use and have admitted. */
+    void addAllOthers(HostBeat &beat, const HostId &receiver) const;
+    template<class AdmittedOf>
+    void addTeams(HostBeat &beat, AdmittedOf admittedOf) const;
+    /** Calls @p action with the quota of each team that the beat tells of, and its count. */
+    template<class Action>
+    void forEachTeam(const HostBeat &beat, Action action);
     void count(const HostId &from, const HostBeat &beat, bool isSpokenFor);
     void ignore(const HostId &host);
     /** Learns where a host's counts stand, for when this host speaks for it. */
--- a/serving/dispatcher.cpp
+++ b/serving/dispatcher.cpp
@@ -102,14 +102,11 @@
     if (place(flow) != Placement::Waits) {
         return;
     }
-    if (flow.isAnswering()) {
-        m_waiting.insert(waitingKeyOf(flow)); // until resumeWait is over
-        return;
-    }
-    const Millis now = m_context.clock.now();
     const int64_t ahead = aheadOf(flow);
     const Millis wait = m_waitEstimates[flow.pool].forQueue(ahead);
-    if (now + wait > flow.request.receivedAt + flow.objective * waitingPart) {
+    const bool isTooLong = m_context.clock.now() + wait > flow.request.receivedAt + flow.objective * waitingPart;
+    // A stream that is resumed waits until resumeWait is over.
+    if (isTooLong && !flow.isAnswering()) {
         refuse(flow,
                {RefusalCode::Overloaded, RunState::NotRun, std::max(wait, overloadRetry),
                 "expected wait " + std::to_string(wait.value) + " ms behind " + std::to_string(ahead) + " requests"});
@@ -363,11 +360,16 @@
     tryElsewhere(flow, true, RefusalCode::Overloaded, "the replica refused the request without running it");
 }
 
-void Dispatcher::onBrokenOff(Flow &flow)
+bool Dispatcher::noteRun(Flow &flow)
 {
     m_context.backends.onFailure(flow.replica, false, m_context.clock.now());
     flow.ranOn.insert(flow.replica);
-    if (!flow.isResumable || static_cast<int>(flow.ranOn.size()) >= flow.maxReplicas) {
+    return static_cast<int>(flow.ranOn.size()) < flow.maxReplicas;
+}
+
+void Dispatcher::onBrokenOff(Flow &flow)
+{
+    if (!noteRun(flow) || !flow.isResumable) {
         breakOff(flow, "the replica broke its answer off");
         return;
     }
@@ -378,10 +380,7 @@
 
 void Dispatcher::onLost(Flow &flow)
 {
-    const Millis now = m_context.clock.now();
-    m_context.backends.onFailure(flow.replica, false, now);
-    flow.ranOn.insert(flow.replica);
-    if (flow.isRepeatable() && static_cast<int>(flow.ranOn.size()) < flow.maxReplicas) {
+    if (noteRun(flow) && flow.isRepeatable()) {
         tryElsewhere(flow, true, RefusalCode::OutcomeUnknown,
                      flow.verdict == AttemptVerdict::Failed ? "the replica failed the request"
                                                             : "the replica's answer was lost");
--- a/serving/dispatcher.h
+++ b/serving/dispatcher.h
@@ -118,6 +118,8 @@
     static WaitingKey waitingKeyOf(const Flow &flow);
     void tryElsewhere(Flow &flow, bool countsAsRepeat, RefusalCode code, const std::string &why);
     void onRejected(Flow &flow);
+    /** The replica may have run the request and failed it. @return whether the route allows another replica. */
+    bool noteRun(Flow &flow);
     /** The attempt ended after the start of its answer was passed on. */
     void onBrokenOff(Flow &flow);
     void onLost(Flow &flow);
--- a/serving/fleetmembers.cpp
+++ b/serving/fleetmembers.cpp
@@ -27,6 +27,12 @@
 constexpr size_t mostCandidates = 5;
 constexpr size_t mostAddresses = 64; // that a caller takes, by the platform's protocol
 
+/** @return whether something that happened at @p at, or never if negative, was lately. */
+bool isLately(Millis at, Millis now)
+{
+    return at.value >= 0 && now - at < liveLimit;
+}
+
 }
 
 FleetMembers::FleetMembers(const ServingSettings &settings, Incarnation incarnation)
@@ -58,7 +64,6 @@
     try {
         const bool isNew = m_peers.count(host) == 0;
         FleetMember &member = m_peers[host];
-        member.host = host;
         if (isNew) {
             member.knownSince = now;
         }
@@ -130,12 +135,12 @@
     return m_hubs.empty() ? HostId() : *m_hubs.begin();
 }
 
-std::vector<HostId> FleetMembers::spokenFor(Millis now) const
+std::set<HostId> FleetMembers::spokenFor(Millis now) const
 {
-    std::vector<HostId> hosts;
+    std::set<HostId> hosts;
     for (const auto &[host, member] : m_peers) {
         if (!isHub(host) && isHeard(host, now) && speakerOf(host) == m_settings.host) {
-            hosts.push_back(host);
+            hosts.insert(host);
         }
     }
     return hosts;
@@ -175,7 +180,7 @@
     }
     member.beat = beat;
     member.heardAt = now;
-    member.sign = {0, beat.isReady, beat.isStopping, beat.reachesStore};
+    member.sign = {shortHash(from.text()), beat.isReady, beat.isStopping, beat.reachesStore};
     for (const HostSign &told : beat.told) {
         const auto name = m_byShortId.find(told.host);
         const auto other = name == m_byShortId.end() ? m_peers.end() : m_peers.find(name->second);
@@ -201,17 +206,13 @@
 bool FleetMembers::isLive(const HostId &host, Millis now) const
 {
     const auto entry = m_peers.find(host);
-    if (entry == m_peers.end()) {
-        return false;
-    }
-    const Millis lastAt = std::max(entry->second.heardAt, entry->second.toldAt);
-    return lastAt.value >= 0 && now - lastAt < liveLimit;
+    return entry != m_peers.end() && isLately(std::max(entry->second.heardAt, entry->second.toldAt), now);
 }
 
 bool FleetMembers::isHeard(const HostId &host, Millis now) const
 {
     const auto entry = m_peers.find(host);
-    return entry != m_peers.end() && entry->second.heardAt.value >= 0 && now - entry->second.heardAt < liveLimit;
+    return entry != m_peers.end() && isLately(entry->second.heardAt, now);
 }
 
 bool FleetMembers::isLost(const HostId &host, Millis now) const
--- a/serving/fleetmembers.h
+++ b/serving/fleetmembers.h
@@ -21,7 +21,6 @@
 /** Another host, as this one knows it. */
 struct FleetMember
 {
-    HostId host;
     DomainId domain;
     std::string peerAddress;
     std::string callerAddress;
@@ -95,7 +94,7 @@
     /** @return the hub that speaks for a host to the other hubs; a hub speaks for itself. Empty if there is none. */
     HostId speakerOf(const HostId &host) const;
     /** @return hosts that this one speaks for and hears. */
-    std::vector<HostId> spokenFor(Millis now) const;
+    std::set<HostId> spokenFor(Millis now) const;
     /** @return hosts that this one sends its beats to. */
     std::set<HostId> beatTargets(Millis now) const;
     /** @return whether this host has the lowest name of the live hubs that reach the store. */
--- a/serving/loadcoordinator.cpp
+++ b/serving/loadcoordinator.cpp
@@ -70,9 +70,7 @@
         }
     }
     for (auto entry = m_ownedSince.begin(); entry != m_ownedSince.end();) {
-        const OwnerEntry *owner = m_owners.find(entry->first);
-        const bool isOwn = owner != nullptr && owner->host == m_context.settings.host;
-        entry = isOwn ? std::next(entry) : m_ownedSince.erase(entry);
+        entry = isOwner(entry->first) ? std::next(entry) : m_ownedSince.erase(entry);
     }
 }
 
@@ -117,17 +115,21 @@
     }
 }
 
-bool LoadCoordinator::mayOrder(const ReplicaId &replica) const
+bool LoadCoordinator::isOwner(const ReplicaId &replica) const
 {
     const OwnerEntry *entry = m_owners.find(replica);
+    return entry != nullptr && entry->host == m_context.settings.host;
+}
+
+bool LoadCoordinator::mayOrder(const ReplicaId &replica) const
+{
     const Millis now = m_context.clock.now();
-    if (entry == nullptr || entry->host != m_context.settings.host || m_provenAt.value < 0
-        || now - m_provenAt > orderHold) {
+    if (!isOwner(replica) || m_provenAt.value < 0 || now - m_provenAt > orderHold) {
         return false;
     }
     // The owner before may have ordered until its last proof ran out, and that was older than this entry.
     const auto since = m_ownedSince.find(replica);
-    return !entry->isTakeover
+    return !m_owners.find(replica)->isTakeover
         || (since != m_ownedSince.end()
             && now - since->second > orderHold + m_context.settings.orderLease + takeoverMargin);
 }
@@ -163,10 +165,9 @@
 void LoadCoordinator::dropOrders()
 {
     for (auto entry = m_orders.begin(); entry != m_orders.end();) {
-        const OwnerEntry *owner = m_owners.find(entry->first);
         const BackendState *state = m_context.backends.find(entry->first);
-        const bool isOwn = owner != nullptr && owner->host == m_context.settings.host;
-        entry = isOwn && state != nullptr && state->isUsable() ? std::next(entry) : m_orders.erase(entry);
+        const bool isKept = isOwner(entry->first) && state != nullptr && state->isUsable();
+        entry = isKept ? std::next(entry) : m_orders.erase(entry);
     }
 }
 
@@ -287,13 +288,21 @@
     m_newsForHubs.clear();
     if (now - m_membersToldAt >= membersInterval) {
         m_membersToldAt = now;
-        const std::vector<HostId> hosts = members.spokenFor(now);
-        sendNews({hosts.begin(), hosts.end()}, m_newsForMembers);
+        sendNews(members.spokenFor(now), m_newsForMembers);
         m_newsForMembers.clear();
     }
 }
 
 void LoadCoordinator::sendNews(const std::set<HostId> &hosts, const std::vector<ResidencyNews> &news)
+{
+    for (size_t first = 0; first < news.size(); first += newsPerMessage) {
+        const auto begin = news.begin() + static_cast<std::ptrdiff_t>(first);
+        const auto end = news.begin() + static_cast<std::ptrdiff_t>(std::min(first + newsPerMessage, news.size()));
+        sendTo(hosts, ResidencyBatch {{begin, end}});
+    }
+}
+
+void LoadCoordinator::sendTo(const std::set<HostId> &hosts, const Message &message)
 {
     std::vector<std::string> addresses;
     for (const HostId &host : hosts) {
@@ -302,10 +311,8 @@
             addresses.push_back(member->second.peerAddress);
         }
     }
-    for (size_t first = 0; first < news.size() && !addresses.empty(); first += newsPerMessage) {
-        const auto begin = news.begin() + static_cast<std::ptrdiff_t>(first);
-        const auto end = news.begin() + static_cast<std::ptrdiff_t>(std::min(first + newsPerMessage, news.size()));
-        m_context.peers.sendAll(addresses, ResidencyBatch {{begin, end}});
+    if (!addresses.empty()) {
+        m_context.peers.sendAll(addresses, message);
     }
 }
 
@@ -329,19 +336,11 @@
         if (entry->host == m_context.settings.host) {
             onAsk(ask);
         } else {
-            sendTo(entry->host, ask);
+            sendTo({entry->host}, ask);
         }
     }
 }
 
-void LoadCoordinator::sendTo(const HostId &host, const Message &message)
-{
-    const auto member = m_context.members.peers().find(host);
-    if (member != m_context.members.peers().end()) {
-        m_context.peers.send(member->second.peerAddress, message);
-    }
-}
-
 void LoadCoordinator::sendUses(const Dispatcher &dispatcher)
 {
     std::map<ReplicaId, AdapterUseReport> reports;
@@ -368,7 +367,7 @@
         }
     }
     for (const auto &[host, batch] : batches) {
-        sendTo(host, batch);
+        sendTo({host}, batch);
     }
 }
 
@@ -413,10 +412,12 @@
 
 void LoadCoordinator::assignOwners()
 {
-    OwnerTable next = m_owners;
     const Millis now = m_context.clock.now();
-    if (m_isAssigning || now - m_assignedAt < assignSpacing || m_context.admission.config() == nullptr
-        || !next.assign(replicasToOwn(), liveHubs(), lostOwners())) {
+    if (m_isAssigning || now - m_assignedAt < assignSpacing || m_context.admission.config() == nullptr) {
+        return;
+    }
+    OwnerTable next = m_owners;
+    if (!next.assign(replicasToOwn(), liveHubs(), lostOwners())) {
         return;
     }
     m_isAssigning = true;
--- a/serving/loadcoordinator.h
+++ b/serving/loadcoordinator.h
@@ -123,7 +123,10 @@
     /** Tells what this host's replicas hold, and passes on what it heard. */
     void tellNews();
     void sendNews(const std::set<HostId> &hosts, const std::vector<ResidencyNews> &news);
-    void sendTo(const HostId &host, const Message &message);
+    /** Sends a message to the hosts that are known. */
+    void sendTo(const std::set<HostId> &hosts, const Message &message);
+    /** @return whether this host orders the replica's loads, by its copy of the table. */
+    bool isOwner(const ReplicaId &replica) const;
     /** @return adapters that the weight store gives out at full speed. */
     int64_t fullSpeedLoads(const PoolId &pool) const;
     std::vector<Placeable> replicasToOwn() const;
--- a/serving/servingnode.cpp
+++ b/serving/servingnode.cpp
@@ -175,12 +175,7 @@
                 m_ports.log.record(EventCode::ReplicaLeaving, id.text(), "it says that it leaves");
             }
             m_residency.onDiscovered(backend, now);
-            const bool isLeaving = backend.isLeaving;
-            const bool isNewLife = m_backends.upsert(std::move(backend));
-            if (isLeaving) {
-                m_backends.noteLeaving(id, now);
-            }
-            if (isNewLife) {
+            if (m_backends.upsert(std::move(backend), now)) {
                 m_ports.log.record(EventCode::ReplicaRestarted, id.text(), "a new life under the same id");
                 m_loads.onNewLife(id);
             }
--- /dev/null
+++ b/tests/fakes/dispatchfixture.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "core/random.h"
+#include "serving/adapterversions.h"
+#include "serving/admission.h"
+#include "serving/backendtable.h"
+#include "serving/dispatcher.h"
+#include "serving/enginechooser.h"
+#include "serving/requestlog.h"
+#include "serving/residencymap.h"
+#include "tests/fakes/servingfakes.h"
+
+#include <memory>
+#include <string>
+
+namespace vanillaspar::serving
+{
+
+/** A dispatcher with two engines and two replicas of a plain service, which are fakes. */
+class DispatchFixture
+{
+protected:
+    /** @param seed of the random numbers. */
+    explicit DispatchFixture(uint64_t seed) : m_random(seed)
+    {
+    }
+
+    /** Puts all in place. @param trustedUntil how long callers' keys are trusted. */
+    void startDispatch(Millis trustedUntil)
+    {
+        m_clock.setNow(startTime);
+        m_admission.setConfig(std::make_shared<ServingConfig>(makeConfig()), m_clock.now());
+        m_admission.setTrustedUntil(trustedUntil);
+        for (const std::string id : {"e1", "e2"}) {
+            const Backend backend = makeBackend(id, "engines", {{"m/a1", 1}});
+            m_residency.onDiscovered(backend, m_clock.now());
+            m_backends.upsert(backend, m_clock.now());
+        }
+        m_backends.upsert(makeBackend("s1", "desk"), m_clock.now());
+        m_backends.upsert(makeBackend("s2", "desk"), m_clock.now());
+        m_dispatcher.setRetryBounds(0.2, 5, Millis(10000));
+    }
+
+    static constexpr Millis startTime {10000};
+
+    VirtualClock m_clock;
+    Random m_random;
+    FakeLog m_log;
+    FakeCallers m_callers;
+    FakeAttempts m_attempts;
+    Admission m_admission {m_random};
+    BackendTable m_backends;
+    ResidencyMap m_residency;
+    AdapterVersions m_versions;
+    EngineChooser m_chooser {m_backends, m_residency, m_versions, DomainId("a"), [](const ReplicaId &) {
+                                 return true;
+                             }};
+    FakeMetrics m_metrics;
+    RequestLog m_requestLog {m_log, m_metrics};
+    Dispatcher m_dispatcher {{m_clock, m_callers, m_attempts, m_admission, m_backends, m_residency, m_versions,
+                              m_chooser, m_requestLog, DomainId("a")}};
+};
+
+}
--- a/tests/serving/beatexchangetest.cpp
+++ b/tests/serving/beatexchangetest.cpp
@@ -26,7 +26,7 @@
         , members(settings, Incarnation(settings.host.text() + "/1"))
         , beats({settings, clock, peers, log, members, admission, backends})
     {
-        backends.upsert(makeBackend("e1", "engines"));
+        backends.upsert(makeBackend("e1", "engines"), clock.now());
         ServingConfig config = makeConfig();
         config.teams[0].rate = 100000;
         config.teams[0].burst = 100000;
--- a/tests/serving/dispatchertest.cpp
+++ b/tests/serving/dispatchertest.cpp
@@ -1,14 +1,7 @@
 #include "serving/dispatcher.h"
 
 #include "cluster/messages/fleet.h"
-#include "core/random.h"
-#include "serving/adapterversions.h"
-#include "serving/admission.h"
-#include "serving/backendtable.h"
-#include "serving/enginechooser.h"
-#include "serving/requestlog.h"
-#include "serving/residencymap.h"
-#include "tests/fakes/servingfakes.h"
+#include "tests/fakes/dispatchfixture.h"
 
 #include <gtest/gtest.h>
 
@@ -18,23 +11,15 @@
 namespace
 {
 
-/** A dispatcher with two engines and two replicas of a plain service. */
-class DispatcherTest : public testing::Test
+class DispatcherTest : public testing::Test, protected DispatchFixture
 {
 protected:
+    DispatcherTest() : DispatchFixture(1)
+    {
+    }
     void SetUp() override
     {
-        m_clock.setNow(Millis(10000));
-        m_admission.setConfig(std::make_shared<ServingConfig>(makeConfig()), m_clock.now());
-        m_admission.setTrustedUntil(Millis(1000000));
-        for (const std::string id : {"e1", "e2"}) {
-            const Backend backend = makeBackend(id, "engines", {{"m/a1", 1}});
-            m_residency.onDiscovered(backend, m_clock.now());
-            m_backends.upsert(backend);
-        }
-        m_backends.upsert(makeBackend("s1", "desk"));
-        m_backends.upsert(makeBackend("s2", "desk"));
-        m_dispatcher.setRetryBounds(0.2, 5, Millis(10000));
+        startDispatch(Millis(1000000));
     }
     void send(uint64_t exchange, const std::string &target, const std::string &weights = {})
     {
@@ -55,23 +40,6 @@
     {
         return m_callers.answers[exchange];
     }
-
-    VirtualClock m_clock;
-    Random m_random {1};
-    FakeLog m_log;
-    FakeCallers m_callers;
-    FakeAttempts m_attempts;
-    Admission m_admission {m_random};
-    BackendTable m_backends;
-    ResidencyMap m_residency;
-    AdapterVersions m_versions;
-    EngineChooser m_chooser {m_backends, m_residency, m_versions, DomainId("a"), [](const ReplicaId &) {
-                                 return true;
-                             }};
-    FakeMetrics m_metrics;
-    RequestLog m_requestLog {m_log, m_metrics};
-    Dispatcher m_dispatcher {{m_clock, m_callers, m_attempts, m_admission, m_backends, m_residency, m_versions,
-                              m_chooser, m_requestLog, DomainId("a")}};
 };
 
 TEST_F(DispatcherTest, ABookingWhoseAnswerIsLostIsNeverSentAgain)
@@ -116,7 +84,7 @@
     // Its answer was lost on the one replica and the other one leaves: nobody is left for the repeat.
     Backend leaving = makeBackend("s2", "desk");
     leaving.isLeaving = true;
-    m_backends.upsert(leaving);
+    m_backends.upsert(leaving, m_clock.now());
     ServingConfig config = makeConfig();
     config.teams[0].rate = 1000;
     config.teams[0].burst = 1000;
@@ -268,11 +236,11 @@
         empty.holdings.models.clear();
         empty.holdings.bornAt = 2;
         m_residency.onDiscovered(empty, m_clock.now());
-        m_backends.upsert(empty);
+        m_backends.upsert(empty, m_clock.now());
     }
     Backend whole = makeBackend("e3", "engines");
     m_residency.onDiscovered(whole, m_clock.now());
-    m_backends.upsert(whole);
+    m_backends.upsert(whole, m_clock.now());
     send(1, "/s/x", "m/a9");
     const std::vector<AdapterAsk> asks = m_dispatcher.takeAsks();
     ASSERT_EQ(asks.size(), 1U);
@@ -283,7 +251,7 @@
 {
     Backend leaving = makeBackend("s1", "desk");
     leaving.isLeaving = true;
-    m_backends.upsert(leaving);
+    m_backends.upsert(leaving, m_clock.now());
     for (uint64_t exchange = 1; exchange <= 6; ++exchange) {
         send(exchange, "/b/x");
     }
--- a/tests/serving/requeststorytest.cpp
+++ b/tests/serving/requeststorytest.cpp
@@ -1,12 +1,4 @@
-#include "core/random.h"
-#include "serving/adapterversions.h"
-#include "serving/admission.h"
-#include "serving/backendtable.h"
-#include "serving/dispatcher.h"
-#include "serving/enginechooser.h"
-#include "serving/requestlog.h"
-#include "serving/residencymap.h"
-#include "tests/fakes/servingfakes.h"
+#include "tests/fakes/dispatchfixture.h"
 
 #include <gtest/gtest.h>
 #include <sstream>
@@ -41,22 +33,15 @@
 };
 
 /** A dispatcher under drawn requests and faults, and the reader of its log. */
-class RequestStoryTest : public testing::TestWithParam<uint64_t>
+class RequestStoryTest : public testing::TestWithParam<uint64_t>, protected DispatchFixture
 {
 protected:
+    RequestStoryTest() : DispatchFixture(GetParam())
+    {
+    }
     void SetUp() override
     {
-        m_clock.setNow(Millis(10000));
-        m_admission.setConfig(std::make_shared<ServingConfig>(makeConfig()), m_clock.now());
-        m_admission.setTrustedUntil(Millis(10000 + playedMillis * 3 / 4));
-        for (const std::string id : {"e1", "e2"}) {
-            const Backend backend = makeBackend(id, "engines", {{"m/a1", 1}});
-            m_residency.onDiscovered(backend, m_clock.now());
-            m_backends.upsert(backend);
-        }
-        m_backends.upsert(makeBackend("s1", "desk"));
-        m_backends.upsert(makeBackend("s2", "desk"));
-        m_dispatcher.setRetryBounds(0.2, 5, Millis(10000));
+        startDispatch(startTime + Millis(playedMillis * 3 / 4));
     }
 
     void play()
@@ -199,22 +184,6 @@
         return fields;
     }
 
-    VirtualClock m_clock;
-    Random m_random {GetParam()};
-    FakeLog m_log;
-    FakeCallers m_callers;
-    FakeAttempts m_attempts;
-    Admission m_admission {m_random};
-    BackendTable m_backends;
-    ResidencyMap m_residency;
-    AdapterVersions m_versions;
-    EngineChooser m_chooser {m_backends, m_residency, m_versions, DomainId("a"), [](const ReplicaId &) {
-                                 return true;
-                             }};
-    FakeMetrics m_metrics;
-    RequestLog m_requestLog {m_log, m_metrics};
-    Dispatcher m_dispatcher {{m_clock, m_callers, m_attempts, m_admission, m_backends, m_residency, m_versions,
-                              m_chooser, m_requestLog, DomainId("a")}};
     uint64_t m_exchange = 0;
     size_t m_noted = 0;
     std::vector<FakeAttempts::Sent> m_open;
