Stop serving keys on a host that hears of nobody

It can know that it is blind: neither the platform nor any other host has answered for isolation-limit-ms (2.5 s). Ruled out: lowering confirm-limit-ms, which also ends service in a slow spell of the platform while peers answer.

--- a/node/membership.h
+++ b/node/membership.h
@@ -70,6 +70,10 @@
     {
         return m_store;
     }
+    const PeerTable &peers() const
+    {
+        return m_peers;
+    }
     PeerTable &peers()
     {
         return m_peers;
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -565,16 +565,30 @@
     });
 }
 
+bool Node::isIsolated() const
+{
+    if (m_objects.answeredAt() + m_settings.isolationLimit > m_ports.clock.now()) {
+        return false;
+    }
+    const auto &members = m_membership.state().members;
+    const bool hasOthers = std::any_of(members.begin(), members.end(), [&](const auto &entry) {
+        return entry.first != m_settings.host
+            && !m_membership.peers().isProvedGone(entry.first, entry.second.incarnation);
+    });
+    return hasOthers && m_membership.peers().heardWithin(m_settings.isolationLimit).empty();
+}
+
 void Node::updateConfirmed()
 {
     const bool isFresh = m_config.confirmedAge() <= m_settings.confirmLimit;
     // With every other host heard and none of them knowing a newer one, no host can have seen a newer configuration.
     const bool isOutage = !isFresh && m_config.current() != nullptr && !m_config.isNewerKnown()
         && m_membership.peers().hasHeardAll(m_membership.state(), m_config.version(), m_settings.confirmLimit);
-    const bool isConfirmed = isFresh || isOutage;
+    const bool isConfirmed = (isFresh || isOutage) && !isIsolated();
     if (m_isConfirmed && !isConfirmed) {
         m_ports.log.record(EventCode::ConfigUnconfirmed, std::to_string(m_config.version().value),
-                           "neither the platform nor all peers answer");
+                           isIsolated() ? "neither the platform nor any peer answers"
+                                        : "neither the platform nor all peers answer");
     }
     m_isConfirmed = isConfirmed;
     m_gateway.setConfirmed(isConfirmed);
--- a/node/node.h
+++ b/node/node.h
@@ -103,6 +103,8 @@
     void retireOwner(const ReplicaId &replica);
     void tickOwners();
     void followHosts();
+    /** @return whether no news, such as a leaving backend server, can have reached this host lately. */
+    bool isIsolated() const;
     void updateConfirmed();
     void chooseStoreHome();
     void continueDrain();
--- a/node/nodesettings.h
+++ b/node/nodesettings.h
@@ -25,6 +25,7 @@
     Millis longLease {600'000}; ///< After it a successor may take over without proof.
     Millis leaseMargin {2000}; ///< Allowance for clocks that run at different speeds.
     Millis confirmLimit {5000}; ///< Age at which an unconfirmed configuration stops serving keys.
+    Millis isolationLimit {2500}; ///< Silence of the platform and of all peers after which no keys are served.
     Millis admissionWait {2000}; ///< Longest wait for a team's tokens.
     Millis defaultDeadline {30'000};
     Millis longestDeadline {120'000};
--- a/objects/objectclient.cpp
+++ b/objects/objectclient.cpp
@@ -51,6 +51,7 @@
         return;
     }
     m_isReachable = reply.status != ObjectReply::Status::Unreachable;
+    m_answeredAt = m_isReachable ? m_clock.now() : m_answeredAt;
     const Handler handler = std::move(waiting->second.handler);
     m_waiting.erase(waiting);
     handler(reply);
--- a/objects/objectclient.h
+++ b/objects/objectclient.h
@@ -48,6 +48,11 @@
     {
         return m_isReachable;
     }
+    /** @return when the platform last answered; the start of the clock if it never did. */
+    Millis answeredAt() const
+    {
+        return m_answeredAt;
+    }
     /** @return calls sent so far, a watch counted as one. */
     uint64_t callCount() const
     {
@@ -69,6 +74,7 @@
     uint64_t m_nextId = 1;
     uint64_t m_callCount = 0;
     bool m_isReachable = true;
+    Millis m_answeredAt;
 };
 
 }
