Keep out replicas that left while this host could not read the store

And what other hosts tell of a leaving replica was forgotten after 5 s, though a host that is refused for longer has nothing newer. Now: an outage ends when the store first answers anybody, as this host's other calls and the others' proofs show; hubs then ask again at once instead of waiting for watches that may be dead; a replica that was told to leave stays out until a copy of the entries that is 5 s newer says otherwise. Ruled out: the beats (the others told within 0.1 s); the drawing of a new owner.

--- a/serving/backendtable.cpp
+++ b/serving/backendtable.cpp
@@ -82,11 +82,11 @@
     return entry->second;
 }
 
-std::vector<uint32_t> BackendTable::leavingLately(Millis now)
+std::vector<uint32_t> BackendTable::leavingLately(Millis now, Millis provenAt)
 {
     std::vector<uint32_t> leaving;
     for (const auto &[id, state] : m_backends) {
-        if (state->isToldLeaving && now - state->leavingSince >= leavingNews) {
+        if (state->isToldLeaving && std::min(now, provenAt) - state->leavingSince >= leavingNews) {
             state->isToldLeaving = false; // nobody tells it any more; the entry decides
         }
         if (state->leavingSince.value >= 0 && now - state->leavingSince < leavingNews) {
--- a/serving/backendtable.h
+++ b/serving/backendtable.h
@@ -61,8 +61,12 @@
      * @return the server if that is news, or nullptr.
      */
     const BackendState *onToldLeaving(uint32_t shortId, Millis now);
-    /** @return short ids of servers that began to leave in the last seconds. */
-    std::vector<uint32_t> leavingLately(Millis now);
+    /**
+     * @param provenAt when the entries here were known to be the store's last. Without a newer copy of its entry, a
+     * server of which another host has told that it leaves stays out.
+     * @return short ids of servers that began to leave in the last seconds.
+     */
+    std::vector<uint32_t> leavingLately(Millis now, Millis provenAt);
     /** Forgets servers that were removed and have nothing left to answer. @return which. */
     std::vector<ReplicaId> forgetGone(Millis now);
 
--- a/serving/servingnode.cpp
+++ b/serving/servingnode.cpp
@@ -27,6 +27,8 @@
 constexpr Millis firstAssignment(2000);
 // Entries of replicas that lapsed during an outage are back within two seconds of its end.
 constexpr Millis lapseGrace(2200);
+// Nobody being answered for so long is an outage: hosts prove the configuration more often, and entries lapse later.
+constexpr Millis outageGap(3000);
 
 // Callers follow a new address list within three of its lifetimes.
 constexpr Millis drainServing(3500);
@@ -149,13 +151,13 @@
 void ServingNode::onBackends(const std::vector<StoredRecord> &records)
 {
     const Millis now = m_ports.clock.now();
-    const Millis recoveredAt = m_backendRecords.recoveredAt();
-    const bool isJustBack = recoveredAt.value >= 0 && now - recoveredAt < lapseGrace;
+    followStore();
     for (const StoredRecord &record : records) {
         const ReplicaId id(record.name);
         if (record.isDeleted) {
-            if (isJustBack) {
-                m_lapsed.emplace(id, recoveredAt + lapseGrace);
+            const BackendState *known = m_backends.find(id);
+            if (now < lapseEnd() && known != nullptr && known->isUsable()) {
+                m_lapsed.emplace(id, lapseEnd());
             } else {
                 m_backends.remove(id, now);
                 m_ports.log.record(EventCode::ReplicaLeaving, id.text(), "its entry was removed");
@@ -187,6 +189,33 @@
     }
 }
 
+void ServingNode::followStore()
+{
+    const Millis seen = std::max({m_configuration.answeredAt(), m_backendRecords.answeredAt(),
+                                  m_versionRecords.answeredAt(), m_coordination.answeredAt(), m_configProvenAt});
+    if (seen <= m_storeSeenAt) {
+        return;
+    }
+    const bool wasAway = m_storeSeenAt.value >= 0 && seen - m_storeSeenAt > outageGap;
+    if (wasAway || m_storeUpSince.value < 0) {
+        m_storeUpSince = seen;
+    }
+    m_storeSeenAt = seen;
+    if (wasAway && m_members.isHub(m_settings.host)) {
+        // Watches that were held when the outage began may never be answered.
+        for (RecordMirror *mirror : {&m_configuration, &m_backendRecords, &m_versionRecords, &m_coordination}) {
+            mirror->refresh();
+        }
+    }
+}
+
+Millis ServingNode::lapseEnd() const
+{
+    const Millis recoveredAt = m_backendRecords.recoveredAt();
+    // The store may have been back before this host's own call was answered again, or away for this host alone.
+    return recoveredAt.value < 0 ? Millis(-1) : std::min(recoveredAt, m_storeUpSince) + lapseGrace;
+}
+
 void ServingNode::removeLapsed()
 {
     const Millis now = m_ports.clock.now();
@@ -294,6 +323,7 @@
     m_versionRecords.tick();
     m_coordination.tick();
     followTrust();
+    followStore();
     removeLapsed();
     m_registry.tick();
     if (now - m_beatAt >= beatInterval) {
@@ -355,7 +385,7 @@
     beat.slowLoads = static_cast<uint16_t>(m_loads.slowLoads());
     beat.modelLoads = static_cast<uint16_t>(m_loads.modelLoads());
     beat.backendsRevision = m_backendsRevision;
-    beat.leaving = m_backends.leavingLately(m_ports.clock.now());
+    beat.leaving = m_backends.leavingLately(m_ports.clock.now(), m_backendRecords.provenAt());
     beat.configuration = proofOf(m_configRevision, m_configProvenAt);
     beat.owners = proofOf(m_loads.revision(), m_loads.provenAt());
     return beat;
--- a/serving/servingnode.h
+++ b/serving/servingnode.h
@@ -111,6 +111,10 @@
     void onCoordination(const std::vector<StoredRecord> &records);
     void onBeat(const HostId &from, const HostBeat &beat);
     void removeLapsed();
+    /** Follows since when the store answers this host or, by their proofs, others. */
+    void followStore();
+    /** @return until when an entry that is missing may be one that lapsed in an outage; the past if there was none. */
+    Millis lapseEnd() const;
     void followTrust();
     void sendBeats();
     bool mayAssignOwners() const;
@@ -143,6 +147,8 @@
     int64_t m_configRevision = 0;
     int64_t m_backendsRevision = 0; ///< Of the newest replica, or the newest life of one.
     Millis m_configProvenAt {-1};
+    Millis m_storeSeenAt {-1}; ///< When the store is known to have answered anybody last.
+    Millis m_storeUpSince {-1}; ///< When that began, after the last outage.
     Millis m_startedAt;
     Millis m_beatAt {0};
     Millis m_useAt {0};
--- a/tests/serving/servingnodetest.cpp
+++ b/tests/serving/servingnodetest.cpp
@@ -66,6 +66,16 @@
             write.handler(StoreResult::Done);
         }
     }
+    /** Lets time pass until the replicas are asked for again, and answers that a replica's entry is gone. */
+    void answerRemoved(const std::string &replica)
+    {
+        constexpr int mostSteps = 200;
+        for (int i = 0; i < mostSteps && m_store.open(Collection::Backends) == nullptr; ++i) {
+            pass(10, false);
+        }
+        ASSERT_NE(m_store.open(Collection::Backends), nullptr);
+        m_store.answer(Collection::Backends, {StoreResult::Done, {{replica, 30, nullptr, true}}, false, 30});
+    }
     /** A beat of the other host that echoes this host's newest round. */
     HostBeat beat(uint64_t sequence, int64_t configRevision, int64_t configAge)
     {
@@ -210,8 +220,13 @@
     load();
     pass(100, false);
     m_store.answer(Collection::Backends, {StoreResult::Unknown, {}, false, 0});
-    pass(1000, false);
-    m_store.answer(Collection::Backends, {StoreResult::Done, {{"s1", 30, nullptr, true}}, false, 30});
+    // An entry lapses after three heartbeats of its server; keys are served meanwhile on another host's proof.
+    for (uint64_t sequence = 1; sequence < 41; ++sequence) {
+        pass(100, false);
+        m_store.answer(Collection::Backends, {StoreResult::Unknown, {}, false, 0});
+        m_node->onPeerMessage(HostId("h2"), beat(sequence, 10, static_cast<int64_t>(sequence) * 100));
+    }
+    answerRemoved("s1");
     EXPECT_TRUE(isServed());
     pass(1000, true);
     EXPECT_TRUE(isServed());
@@ -219,6 +234,44 @@
     EXPECT_FALSE(isServed()) << "one that isn't back after two seconds is gone";
 }
 
+TEST_F(ServingNodeTest, AReplicaThatLeftWhileTheStoreRefusedThisHostStaysOut)
+{
+    // A drawn day of klangnett: the store refuses one host for seconds, in which replicas leave; the others tell it.
+    load();
+    pass(100, false);
+    m_store.answer(Collection::Backends, {StoreResult::Failed, {}, false, 0});
+    pass(500, false);
+    HostBeat told = beat(1, 10, 0);
+    told.leaving = {shortHash("s1")};
+    m_node->onPeerMessage(HostId("h2"), told);
+    ASSERT_FALSE(isServed());
+    for (uint64_t sequence = 2; sequence < 70; ++sequence) {
+        pass(100, false);
+        m_store.answer(Collection::Backends, {StoreResult::Failed, {}, false, 0});
+        m_node->onPeerMessage(HostId("h2"), beat(sequence, 10, 0));
+        ASSERT_FALSE(isServed()) << "without the store this host can't know better, round " << sequence;
+    }
+    answerRemoved("s1");
+    for (uint64_t sequence = 70; sequence < 100; ++sequence) {
+        pass(100, true);
+        ASSERT_FALSE(isServed()) << "its entry was removed while the store served the others, round " << sequence;
+    }
+}
+
+TEST_F(ServingNodeTest, AnEntryThatIsMissingAfterOnlyThisHostWasRefusedIsGone)
+{
+    load();
+    pass(100, false);
+    m_store.answer(Collection::Backends, {StoreResult::Failed, {}, false, 0});
+    for (uint64_t sequence = 1; sequence < 40; ++sequence) {
+        pass(100, false);
+        m_store.answer(Collection::Backends, {StoreResult::Failed, {}, false, 0});
+        m_node->onPeerMessage(HostId("h2"), beat(sequence, 10, 0));
+    }
+    answerRemoved("s1");
+    EXPECT_FALSE(isServed()) << "the store has been there for seconds, as the other host's proofs show";
+}
+
 TEST_F(ServingNodeTest, AnEntryThatIsRemovedInCalmGetsNoMoreWork)
 {
     load();
