Refuse streams on a host that stops when they may not end in its grace

Now a stream that comes 2.8 s or more after SIGTERM is refused at once as not run, and the caller's retry goes elsewhere; short requests are served as before. Ruled out: a replica's failure (it was at work until the cut). Test: AStoppingHostTakesNoStreamThatItMayHaveToCut failed with the guard off.

--- a/serving/dispatcher.cpp
+++ b/serving/dispatcher.cpp
@@ -84,7 +84,17 @@
         reject(request, nullptr, *refusal);
         return;
     }
-    std::unique_ptr<Flow> owned = makeFlow(std::move(request), std::get<Admitted>(decision));
+    const Admitted &admitted = std::get<Admitted>(decision);
+    if (!m_isAcceptingStreams && admitted.route->kind == RequestKind::Stream) {
+        if (admitted.team != nullptr) {
+            m_context.admission.giveBack(admitted.team->id, admitted.cost, now);
+        }
+        reject(
+            request, nullptr,
+            {RefusalCode::ShuttingDown, RunState::NotRun, stoppingRetry, "this host is stopping and takes no streams"});
+        return;
+    }
+    std::unique_ptr<Flow> owned = makeFlow(std::move(request), admitted);
     Flow &flow = *owned;
     m_flows.emplace(flow.request.exchange, std::move(owned));
     budgetOf(flow.pool).onRequest(now);
--- a/serving/dispatcher.h
+++ b/serving/dispatcher.h
@@ -68,6 +68,11 @@
 
     /** Sets the bound on repeats. @param allowance for this host. */
     void setRetryBounds(double ratio, double allowance, Millis window);
+    /** Refuses new streams from now on: the process may end before they do. */
+    void stopAcceptingStreams()
+    {
+        m_isAcceptingStreams = false;
+    }
     /** Refuses new requests from now on. */
     void stopAccepting()
     {
@@ -146,6 +151,7 @@
     std::set<LoadPlace> m_missing; ///< Adapters that replicas denied holding.
     uint64_t m_nextAttempt = 1;
     bool m_isAccepting = true;
+    bool m_isAcceptingStreams = true;
     double m_retryRatio = 0;
     double m_retryAllowance = 0;
     Millis m_retryWindow {10000};
--- a/serving/servingnode.cpp
+++ b/serving/servingnode.cpp
@@ -30,6 +30,8 @@
 
 // Callers follow a new address list within three of its lifetimes.
 constexpr Millis drainServing(3500);
+// A stream that comes later may not end within the grace; callers have had a new address list by then.
+constexpr Millis drainStreams(2800);
 constexpr Millis drainRefusing(2500); // before the end of the grace
 constexpr Millis drainEnd(400); // before the end of the grace
 
@@ -342,6 +344,9 @@
         m_loads.sendUses(m_dispatcher);
     }
     m_loads.tick();
+    if (m_drainStartedAt.value >= 0 && now - m_drainStartedAt > drainStreams) {
+        m_dispatcher.stopAcceptingStreams();
+    }
     if (m_drainStartedAt.value >= 0 && now - m_drainStartedAt > m_settings.shutdownGrace - drainRefusing) {
         m_dispatcher.stopAccepting();
     }
--- a/tests/serving/servingnodetest.cpp
+++ b/tests/serving/servingnodetest.cpp
@@ -415,6 +415,21 @@
     EXPECT_TRUE(m_node->isDrained());
 }
 
+TEST_F(ServingNodeTest, AStoppingHostTakesNoStreamThatItMayHaveToCut)
+{
+    // Found by a hunt on udaklefi: a stream taken 4.8 s after SIGTERM was cut when the grace of 8 s ended.
+    load();
+    m_node->onRequest(makeRequest(1, "/s/x", "m/a1", m_clock.now()));
+    m_node->beginDrain();
+    pass(3000, true);
+    const size_t before = m_attempts.sent.size();
+    m_node->onRequest(makeRequest(2, "/s/x", "m/a1", m_clock.now()));
+    EXPECT_EQ(m_attempts.sent.size(), before);
+    ASSERT_TRUE(m_callers.answers[2].refusal.has_value());
+    EXPECT_EQ(m_callers.answers[2].refusal->runState, RunState::NotRun);
+    EXPECT_TRUE(isServed()) << "a short request ends in time";
+}
+
 TEST_F(ServingNodeTest, AHostThatIsSilentOrStoppingIsNotGivenToCallers)
 {
     load();
