--- a/cluster/messagecodec.cpp
+++ b/cluster/messagecodec.cpp
@@ -16,7 +16,7 @@
 namespace
 {
 
-constexpr char formatVersion = 2;
+constexpr char formatVersion = 3;
 constexpr size_t macLength = 32; // bytes
 constexpr size_t headerLength = 1 + macLength;
 constexpr size_t maxFrameLength = 4UL * 1024 * 1024; // bytes
