Take a load as complete when the replica says so, and repeat unanswered orders

Cause: a load counted as done 250 ms after its order. An order without answer stopped its replica's orders for a second. Tried first: a load order that is repeated is answered with 202 while the load is under way and with 200 when it is complete, and doesn't raise the count.

--- a/serving/loadcoordinator.cpp
+++ b/serving/loadcoordinator.cpp
@@ -38,9 +38,6 @@
 // Time between two changes of the owner table, which every host reads, so that replicas that start at about the same
 // time are assigned in one change.
 constexpr Millis assignInterval(1500);
-// Adapters that the weight store transfers at full speed: 24 and 16 for 18 and 12 replicas, 88 and 80 for 89 and 90.
-constexpr int64_t minFullSpeedLoads = 16;
-constexpr double fullSpeedLoadsPerReplica = 0.9;
 // Reports to leaf hosts are batched, to send fewer datagrams.
 constexpr Millis leafReportInterval(40);
 constexpr size_t reportsPerMessage = 16; // a few kilobytes
@@ -179,9 +176,10 @@
     if (orders == nullptr) {
         const auto firstSequence = static_cast<uint64_t>(m_context.clock.wallNow().value);
         orders
-            = std::make_unique<ReplicaOrders>(replica, m_context.orders, m_context.log, firstSequence, [this, replica] {
-                  sendDueOrder(replica);
-              });
+            = std::make_unique<ReplicaOrders>(replica, m_context.orders, m_context.log, m_transferTimes, firstSequence,
+                                              [this, replica] {
+                                                  sendDueOrder(replica);
+                                              });
         m_context.log.record(EventCode::ReplicaTakenOver, replica.text(),
                              "fence " + std::to_string(entry.fencingNumber));
     }
@@ -204,37 +202,33 @@
     if (!orders.isDue(now)) {
         return;
     }
-    const FleetLoads loads = fleetLoads();
     const OrderContext orderContext {state->info,
                                      *engine,
                                      m_context.versions,
                                      m_context.settings.host,
                                      Epoch(entry->fencingNumber),
-                                     mayLoadModel(engine->loadsPerSecond, loads.models),
-                                     loads.adapters,
-                                     fullSpeedLoads(state->info.pool)};
+                                     mayLoadModel(engine->loadsPerSecond)};
     if (orders.sendNextOrder(orderContext, now)) {
         m_modelLoadAt = now;
     }
 }
 
-bool LoadCoordinator::mayLoadModel(double loadsPerSecond, int64_t fleetModelLoads) const
+bool LoadCoordinator::mayLoadModel(double loadsPerSecond) const
 {
     // Each hub uses an equal share of the weight store's rate.
     const double rate = loadsPerSecond * modelLoadRateShare;
     const auto owners = static_cast<double>(std::max<size_t>(m_context.members.hubs().size(), 1));
     const Millis spacing = rate > 0 ? fromSeconds(owners / rate) : Millis(0);
-    return fleetModelLoads < fullSpeedModelLoads && m_context.clock.now() - m_modelLoadAt >= spacing;
+    return fleetModelLoads() < fullSpeedModelLoads && m_context.clock.now() - m_modelLoadAt >= spacing;
 }
 
-LoadCoordinator::FleetLoads LoadCoordinator::fleetLoads() const
+int64_t LoadCoordinator::fleetModelLoads() const
 {
     const Millis now = m_context.clock.now();
-    FleetLoads loads {adapterLoads(), modelLoads()};
+    int64_t loads = modelLoads();
     for (const auto &[host, member] : m_context.members.peers()) {
         if (m_context.members.isHeardDirectly(host, now)) {
-            loads.adapters += member.heartbeat.adapterLoads;
-            loads.models += member.heartbeat.modelLoads;
+            loads += member.heartbeat.modelLoads;
         }
     }
     return loads;
@@ -242,10 +236,9 @@
 
 int64_t LoadCoordinator::adapterLoads() const
 {
-    const Millis now = m_context.clock.now();
     int64_t loads = 0;
     for (const auto &[replica, orders] : m_orders) {
-        loads += orders->adapterLoads(now);
+        loads += orders->adapterLoads();
     }
     return loads;
 }
@@ -324,12 +317,6 @@
     }
 }
 
-int64_t LoadCoordinator::fullSpeedLoads(const PoolId &pool) const
-{
-    const auto replicas = static_cast<double>(m_context.backends.usable(pool).size());
-    return std::max(minFullSpeedLoads, static_cast<int64_t>(replicas * fullSpeedLoadsPerReplica));
-}
-
 void LoadCoordinator::sendAdapterRequests(Dispatcher &dispatcher)
 {
     const Millis now = m_context.clock.now();
--- a/serving/loadcoordinator.h
+++ b/serving/loadcoordinator.h
@@ -3,6 +3,7 @@
 #include "cluster/message.h"
 #include "core/ids.h"
 #include "core/units.h"
+#include "policy/transfertimes.h"
 #include "serving/ownertable.h"
 
 #include <cstdint>
@@ -125,13 +126,6 @@
     int64_t modelLoads() const;
 
 private:
-    /** Loads in progress that were ordered by any host. */
-    struct FleetLoads
-    {
-        int64_t adapters = 0; ///< From the weight store.
-        int64_t models = 0;
-    };
-
     /** @return whether this host owns the replica and its lease is valid. */
     bool mayOrder(const ReplicaId &replica) const;
     /** @return the orders of a replica, or nullptr. */
@@ -140,8 +134,9 @@
     /** Sends the next order to the replica if this host may and one is due. */
     void sendDueOrder(const ReplicaId &replica);
     /** @return whether the weight store's rate allows this host to order another base model now. */
-    bool mayLoadModel(double loadsPerSecond, int64_t fleetModelLoads) const;
-    FleetLoads fleetLoads() const;
+    bool mayLoadModel(double loadsPerSecond) const;
+    /** @return the number of base models being loaded that any host ordered, as far as known. */
+    int64_t fleetModelLoads() const;
     /** Updates the freshness of the owner table, and reads it again if half of the lease has passed. */
     void updateFreshness();
     /** Deletes the orders of replicas that left or have another owner, so that they no longer count as loads. */
@@ -153,8 +148,6 @@
     void sendTo(const std::set<HostId> &hosts, const Message &message);
     /** @return whether this host is the replica's owner, by its copy of the table. */
     bool isOwner(const ReplicaId &replica) const;
-    /** @return the number of adapters that the weight store transfers at full speed at a time. */
-    int64_t fullSpeedLoads(const PoolId &pool) const;
     std::vector<DomainMember> replicasNeedingOwner() const;
     std::vector<DomainMember> liveHubs() const;
     std::vector<HostId> lostOwners() const;
@@ -163,6 +156,7 @@
     OwnerTable m_owners;
     int64_t m_revision = 0;
     Millis m_freshAsOf {-1};
+    TransferTimes m_transferTimes; ///< Of loads from the weight store that this host ordered.
     std::map<ReplicaId, std::unique_ptr<ReplicaOrders>> m_orders;
     std::map<ReplicaId, Millis> m_ownedSince; ///< When this host first saw itself as a replica's owner.
     std::map<std::pair<ReplicaId, std::string>, Millis> m_requestedAt; ///< Adapters requested recently.
--- a/serving/replicaorders.cpp
+++ b/serving/replicaorders.cpp
@@ -1,6 +1,7 @@
 #include "serving/replicaorders.h"
 
 #include "core/eventlog.h"
+#include "policy/transfertimes.h"
 #include "serving/adapterversions.h"
 #include "serving/weights.h"
 
@@ -12,10 +13,6 @@
 namespace
 {
 
-// An adapter takes 250 ms to load from the weight store and a tenth of that from the replica's own memory, which keeps
-// recently loaded adapters.
-constexpr Millis slowLoadTime(250);
-constexpr Millis fastLoadTime(25);
 constexpr int64_t maxLoadsInProgress = 4; // adapters that a replica loads at a time, by the platform's protocol
 // An engine's report is a few hundred milliseconds old. After this delay it reflects every order accepted before.
 constexpr Millis reportLag(400);
@@ -23,6 +20,9 @@
 constexpr Millis notSentDelay(150);
 // Hosts repeat their adapter requests every 100 ms. A pending load that isn't requested any more is dropped.
 constexpr Millis pendingLoadLifetime(500);
+constexpr int maxOrderRepeats = 3; // then the replica is asked what it holds
+// Told to other hosts beyond the expected end of a load, in case the report that it is complete is lost.
+constexpr Millis confirmationAllowance(400);
 constexpr Millis useReportLifetime(700); // reports are sent five times a second; some are lost
 // An adapter isn't evicted right after a load, so that the requests that waited for it can use it.
 constexpr Millis minResidency(150);
@@ -33,11 +33,12 @@
 
 }
 
-ReplicaOrders::ReplicaOrders(ReplicaId replica, OrderPort &port, EventLog &log, uint64_t firstSequence,
-                             std::function<void()> onIdle)
+ReplicaOrders::ReplicaOrders(ReplicaId replica, OrderPort &port, EventLog &log, TransferTimes &transferTimes,
+                             uint64_t firstSequence, std::function<void()> onIdle)
     : m_replica(std::move(replica))
     , m_orderPort(port)
     , m_log(log)
+    , m_transferTimes(transferTimes)
     , m_sequence(firstSequence)
     , m_onIdle(std::move(onIdle))
 {
@@ -47,6 +48,8 @@
 {
     m_incarnation = std::make_shared<bool>(true);
     m_acceptedOrders.reset();
+    m_leastAcceptedOrders = 0;
+    m_unanswered.reset();
     m_slots.clear();
     m_models.clear();
     m_recentlyLoaded.clear();
@@ -94,17 +97,17 @@
     return running;
 }
 
-int64_t ReplicaOrders::loadsInProgress(Millis now) const
+int64_t ReplicaOrders::loadsInProgress() const
 {
-    return std::count_if(m_slots.begin(), m_slots.end(), [now](const auto &entry) {
-        return entry.second.readyAt > now;
+    return std::count_if(m_slots.begin(), m_slots.end(), [](const auto &entry) {
+        return !entry.second.isReady;
     });
 }
 
-int64_t ReplicaOrders::adapterLoads(Millis now) const
+int64_t ReplicaOrders::adapterLoads() const
 {
-    return std::count_if(m_slots.begin(), m_slots.end(), [now](const auto &entry) {
-        return entry.second.isFromWeightStore && entry.second.readyAt > now;
+    return std::count_if(m_slots.begin(), m_slots.end(), [](const auto &entry) {
+        return entry.second.isFromWeightStore && !entry.second.isReady;
     });
 }
 
@@ -118,6 +121,10 @@
     if (!isDue(now)) {
         return false;
     }
+    if (m_unanswered) {
+        repeatOrder(context);
+        return false;
+    }
     if (!m_acceptedOrders) {
         fetchReport(context, now);
         return false;
@@ -125,10 +132,14 @@
     if (m_models.empty()) {
         return orderModel(context, now);
     }
-    if (loadsInProgress(now) >= maxLoadsInProgress) {
+    if (const std::string *load = chooseDueCheck(now)) {
+        checkLoad(context, *load, now);
+        return false;
+    }
+    if (loadsInProgress() >= maxLoadsInProgress) {
         return false;
     }
-    if (const std::string *outdated = chooseOutdated(context, now)) {
+    if (const std::string *outdated = chooseOutdated(context)) {
         orderLoad(context, *outdated, now);
         return false;
     }
@@ -166,10 +177,10 @@
     return true;
 }
 
-const std::string *ReplicaOrders::chooseOutdated(const OrderContext &context, Millis now) const
+const std::string *ReplicaOrders::chooseOutdated(const OrderContext &context) const
 {
     for (const auto &[weights, slot] : m_slots) {
-        if (slot.version < context.versions.newestVersion(weights) && slot.readyAt <= now && !slot.isUnloading) {
+        if (slot.version < context.versions.newestVersion(weights) && slot.isReady && !slot.isUnloading) {
             return &weights;
         }
     }
@@ -184,7 +195,7 @@
         PendingLoad &pending = entry->second;
         const auto slot = m_slots.find(entry->first);
         const bool isHeld = slot != m_slots.end() && slot->second.version >= pending.version;
-        const bool isDisputed = isHeld && pending.wasMissing && slot->second.readyAt + minResidency < now;
+        const bool isDisputed = isHeld && pending.wasMissing && slot->second.isReady && slot->second.readyAt + minResidency < now;
         if (now - pending.requestedAt > pendingLoadLifetime || (isHeld && !isDisputed)) {
             entry = m_pendingLoads.erase(entry);
             continue;
@@ -206,7 +217,7 @@
     const std::string *candidate = nullptr;
     Millis leastUsed;
     for (const auto &[weights, slot] : m_slots) {
-        const bool isIdle = !slot.isUnloading && slot.readyAt + minResidency <= now && runningOf(weights, now) == 0
+        const bool isIdle = !slot.isUnloading && slot.isReady && slot.readyAt + minResidency <= now && runningOf(weights, now) == 0
             && m_pendingLoads.count(weights) == 0;
         if (isIdle && (candidate == nullptr || slot.usedAt < leastUsed)) {
             candidate = &weights;
@@ -217,10 +228,27 @@
 }
 
 void ReplicaOrders::sendOrder(const OrderContext &context, bool isLoad, const std::string &weights,
-                              std::function<void(OrderResult)> handler)
+                              ResultHandler handler, int repeats)
 {
-    m_orderPort.sendOrder(context.backend, {isLoad, weights, context.host, context.fencingNumber, m_acceptedOrders},
-                          markBusy<OrderResult>(std::move(handler)));
+    m_orderPort.sendOrder(
+        context.backend, {isLoad, weights, context.host, context.fencingNumber, m_acceptedOrders},
+        markBusy<OrderResult>([this, isLoad, weights, handler = std::move(handler), repeats](OrderResult result) {
+            if (result == OrderResult::Unknown && repeats < maxOrderRepeats) {
+                m_unanswered = UnansweredOrder {isLoad, weights, handler, repeats + 1};
+                m_onIdle();
+                return;
+            }
+            // A load that was repeated and now conflicts was accepted the first time, which raised the count.
+            const bool wasAccepted = result == OrderResult::Conflict && repeats > 0 && isLoad;
+            handler(wasAccepted ? OrderResult::Accepted : result);
+        }));
+}
+
+void ReplicaOrders::repeatOrder(const OrderContext &context)
+{
+    const UnansweredOrder order = *m_unanswered;
+    m_unanswered.reset();
+    sendOrder(context, order.isLoad, order.weights, order.handler, order.repeats);
 }
 
 template<class Answer>
@@ -239,33 +267,89 @@
 void ReplicaOrders::orderLoad(const OrderContext &context, const std::string &weights, Millis now)
 {
     const int64_t version = context.versions.newestVersion(weights);
-    const int64_t concurrentLoads = std::max(context.fleetLoads, context.fullSpeedLoads);
-    const Millis slowTime(slowLoadTime.value * concurrentLoads / std::max<int64_t>(context.fullSpeedLoads, 1));
-    sendOrder(context, true, weights, [this, weights, version, slowTime, now](OrderResult result) {
-        onLoadResult(result, weights, version, slowTime, now);
+    sendOrder(context, true, weights, [this, weights, version, now](OrderResult result) {
+        onLoadResult(result, weights, version, now);
         m_onIdle();
     });
 }
 
-void ReplicaOrders::onLoadResult(OrderResult result, const std::string &weights, int64_t version, Millis slowTime,
-                                 Millis now)
+void ReplicaOrders::onLoadResult(OrderResult result, const std::string &weights, int64_t version, Millis now)
 {
     if (!applyResult(result, now)) {
         return;
     }
     const bool isReplacement = m_slots.count(weights) > 0;
-    Slot slot {version, now, now, false, false};
-    if (result == OrderResult::Accepted) {
-        slot.isFromWeightStore = isReplacement || !isRecentlyLoaded(weights);
-        slot.readyAt = now + (slot.isFromWeightStore ? slowTime : fastLoadTime);
-    }
+    Slot slot;
+    slot.version = version;
+    slot.orderedAt = now;
+    slot.usedAt = now;
+    slot.isReady = result == OrderResult::Completed;
+    slot.readyAt = now;
+    slot.isFromWeightStore = isReplacement || !isRecentlyLoaded(weights);
+    slot.checkAt = now + m_transferTimes.nextCheckAge(Millis(0));
     m_slots[weights] = slot;
     m_pendingLoads.erase(weights);
     addRecentlyLoaded(weights);
     m_isReportDue = true;
+    if (slot.isReady) {
+        logLoaded(weights, slot);
+    }
+}
+
+const std::string *ReplicaOrders::chooseDueCheck(Millis now) const
+{
+    const std::string *chosen = nullptr;
+    Millis dueSince;
+    for (const auto &[weights, slot] : m_slots) {
+        if (!slot.isReady && !slot.isUnloading && slot.checkAt <= now
+            && (chosen == nullptr || slot.checkAt < dueSince)) {
+            chosen = &weights;
+            dueSince = slot.checkAt;
+        }
+    }
+    return chosen;
+}
+
+void ReplicaOrders::checkLoad(const OrderContext &context, const std::string &weights, Millis now)
+{
+    m_orderPort.sendOrder(context.backend,
+                          {true, weights, context.host, context.fencingNumber, m_acceptedOrders},
+                          markBusy<OrderResult>([this, weights, now](OrderResult result) {
+                              onLoadChecked(result, weights, now);
+                              m_onIdle();
+                          }));
+}
+
+void ReplicaOrders::onLoadChecked(OrderResult result, const std::string &weights, Millis now)
+{
+    const auto entry = m_slots.find(weights);
+    if (entry == m_slots.end()) {
+        return;
+    }
+    Slot &slot = entry->second;
+    const Millis age = now - slot.orderedAt;
+    if (result == OrderResult::Completed) {
+        slot.isReady = true;
+        slot.readyAt = now;
+        slot.usedAt = now;
+        m_isReportDue = true;
+        m_transferTimes.onCompleted(age);
+        logLoaded(weights, slot);
+        return;
+    }
+    if (result == OrderResult::Conflict || result == OrderResult::Rejected || result == OrderResult::WrongServer) {
+        applyResult(result, now);
+        return;
+    }
+    slot.isFromWeightStore = true; // the replica's own memory would have been faster
+    slot.checkAt = slot.orderedAt + m_transferTimes.nextCheckAge(age);
+}
+
+void ReplicaOrders::logLoaded(const std::string &weights, const Slot &slot)
+{
     m_log.record(EventCode::AdapterLoaded, m_replica.text(),
-                 weights + "@" + std::to_string(version) + " ready in " + std::to_string((slot.readyAt - now).value)
-                     + " ms");
+                 weights + "@" + std::to_string(slot.version) + " after "
+                     + std::to_string((slot.readyAt - slot.orderedAt).value) + " ms");
 }
 
 void ReplicaOrders::orderUnload(const OrderContext &context, const std::string &weights, Millis now)
@@ -290,7 +374,7 @@
         return;
     }
     // The replica still finishes requests that no host had reported. A later report shows when the adapter is gone.
-    m_acceptedOrders.reset();
+    forgetAcceptedOrders();
     m_nextOrderAt = now + reportLag;
 }
 
@@ -307,13 +391,13 @@
         m_nextOrderAt = now + notSentDelay;
         break;
     case OrderResult::Conflict:
-        m_acceptedOrders.reset();
+        forgetAcceptedOrders();
         m_nextOrderAt = now + conflictDelay;
         break;
     case OrderResult::Rejected:
     case OrderResult::WrongServer:
     case OrderResult::Unknown:
-        m_acceptedOrders.reset();
+        forgetAcceptedOrders();
         m_nextOrderAt = now + reportLag;
         break;
     }
@@ -321,6 +405,12 @@
     return false;
 }
 
+void ReplicaOrders::forgetAcceptedOrders()
+{
+    m_leastAcceptedOrders = std::max(m_leastAcceptedOrders, m_acceptedOrders.value_or(0));
+    m_acceptedOrders.reset();
+}
+
 void ReplicaOrders::fetchReport(const OrderContext &context, Millis now)
 {
     m_orderPort.fetchReport(
@@ -336,6 +426,10 @@
     if (!residency || residency->isBusy) {
         return;
     }
+    if (residency->orderCount < m_leastAcceptedOrders) {
+        m_nextOrderAt = now + conflictDelay; // older than an order that the replica is known to have accepted
+        return;
+    }
     m_isLoadingModel = false;
     m_acceptedOrders = residency->orderCount;
     m_models.clear();
@@ -343,23 +437,35 @@
         m_models.push_back(model.name);
     }
     std::map<std::string, Slot> slots;
-    const auto take = [&](const EngineAdapter &adapter, Millis readyAt) {
+    const auto take = [&](const EngineAdapter &adapter, bool isReady) {
+        Slot slot;
+        slot.version = adapter.version;
+        slot.orderedAt = now;
         const auto known = m_slots.find(adapter.weights);
-        slots[adapter.weights]
-            = {adapter.version, readyAt, known == m_slots.end() ? now : known->second.usedAt, false, false};
+        slot.usedAt = known == m_slots.end() ? now : known->second.usedAt;
+        slot.isReady = isReady;
+        slot.readyAt = now;
+        slot.checkAt = now;
+        slots[adapter.weights] = slot;
         addRecentlyLoaded(adapter.weights);
     };
     for (const EngineAdapter &adapter : residency->adapters) {
-        take(adapter, now);
+        take(adapter, true);
     }
     for (const EngineAdapter &adapter : residency->pending) {
-        take(adapter, now + slowLoadTime);
+        take(adapter, false);
     }
     m_slots = std::move(slots);
     m_isReportDue = true;
     m_nextOrderAt = now;
 }
 
+Millis ReplicaOrders::timeToConfirmation(const Slot &slot, Millis now) const
+{
+    const Millis left = slot.orderedAt + m_transferTimes.expected() - now;
+    return std::max(left, Millis(0)) + confirmationAllowance;
+}
+
 std::optional<ResidencyReport> ReplicaOrders::takeReport(const Backend &backend, const HostId &owner, Millis now)
 {
     const bool isKnown = m_acceptedOrders || !m_slots.empty();
@@ -374,8 +480,8 @@
     }
     for (const auto &[weights, slot] : m_slots) {
         if (!slot.isUnloading) {
-            const int64_t left = std::max<int64_t>((slot.readyAt - now).value, 0);
-            report.adapters.push_back({weights, slot.version, static_cast<int32_t>(left)});
+            const Millis left = slot.isReady ? Millis(0) : timeToConfirmation(slot, now);
+            report.adapters.push_back({weights, slot.version, static_cast<int32_t>(left.value)});
         }
     }
     return report;
--- a/serving/replicaorders.h
+++ b/serving/replicaorders.h
@@ -18,6 +18,7 @@
 namespace vanillaspar
 {
 class EventLog;
+class TransferTimes;
 }
 
 namespace vanillaspar::serving
@@ -34,15 +35,17 @@
     HostId host; ///< This host, the issuer of the order.
     Epoch fencingNumber; ///< Of this host's entry in the owner table.
     bool mayLoadModel = false; ///< Whether the weight store's rate allows another base model now.
-    int64_t fleetLoads = 0; ///< Adapters being transferred from the weight store to any replica, as far as known.
-    int64_t fullSpeedLoads = 1; ///< How many of them the weight store transfers at full speed.
 };
 
 /**
  * Chooses and sends the load and unload orders of one replica. Only the replica's owner does so.
  *
  * One order is in progress at a time, and each carries the number of orders that the replica must have accepted before
- * it. So an order that is delayed in the network and arrives late finds a different count and is not carried out.
+ * it. So an order that is delayed in the network and arrives late finds a different count and is not carried out. For
+ * the same reason an order without a response is repeated soon: at most one of the two is carried out.
+ *
+ * A load counts as complete when the replica says so in response to a repeated order. Until then no request is routed
+ * to the adapter.
  */
 class ReplicaOrders
 {
@@ -51,12 +54,13 @@
      * @param replica the replica to order loads for.
      * @param port sends the orders.
      * @param log receives events of loads, unloads and failed orders.
+     * @param transferTimes of loads from the weight store, shared by all replicas of this host.
      * @param firstSequence start of the residency reports' sequence numbers, higher than any that this host used in
      * earlier incarnations.
      * @param onIdle called when an order is done and the next one may be due.
      */
-    ReplicaOrders(ReplicaId replica, OrderPort &port, EventLog &log, uint64_t firstSequence,
-                  std::function<void()> onIdle);
+    ReplicaOrders(ReplicaId replica, OrderPort &port, EventLog &log, TransferTimes &transferTimes,
+                  uint64_t firstSequence, std::function<void()> onIdle);
 
     /**
      * Discards what is known of the replica, when it has a new incarnation or had another owner in between. Pending
@@ -88,7 +92,7 @@
      */
     std::optional<ResidencyReport> takeReport(const Backend &backend, const HostId &owner, Millis now);
     /** @return the number of adapters that are being transferred from the weight store. */
-    int64_t adapterLoads(Millis now) const;
+    int64_t adapterLoads() const;
     /** @return whether a base model is being loaded. */
     bool isLoadingModel() const
     {
@@ -100,10 +104,13 @@
     struct Slot
     {
         int64_t version = 0;
-        Millis readyAt;
+        Millis orderedAt; ///< When the load was ordered, or was first seen in a report.
         Millis usedAt; ///< Arrival of the last report that it is in use.
+        bool isReady = false; ///< Whether the replica confirmed that the load is complete.
         bool isFromWeightStore = false;
         bool isUnloading = false; ///< An unload is ordered; the replica still finishes the requests that use it.
+        Millis readyAt {0}; ///< When isReady became true.
+        Millis checkAt {0}; ///< When to ask the replica whether the load is complete.
     };
     /** An adapter that hosts have requested and that isn't resident yet. */
     struct PendingLoad
@@ -121,8 +128,28 @@
         Millis at; ///< Arrival of the report.
     };
 
-    void sendOrder(const OrderContext &context, bool isLoad, const std::string &weights,
-                   std::function<void(OrderResult)> handler);
+    using ResultHandler = std::function<void(OrderResult)>;
+
+    /** An order to which the replica did not respond. */
+    struct UnansweredOrder
+    {
+        bool isLoad = true;
+        std::string weights;
+        ResultHandler handler; ///< Receives the result of the repeated order.
+        int repeats = 0;
+    };
+
+    /** Sends an order; @p handler gets its result once the replica responds or no repetition is left. */
+    void sendOrder(const OrderContext &context, bool isLoad, const std::string &weights, ResultHandler handler,
+                   int repeats = 0);
+    /** Sends the unanswered order again. */
+    void repeatOrder(const OrderContext &context);
+    /** Asks the replica whether a load is complete, by repeating its order. */
+    void checkLoad(const OrderContext &context, const std::string &weights, Millis now);
+    void onLoadChecked(OrderResult result, const std::string &weights, Millis now);
+    void logLoaded(const std::string &weights, const Slot &slot);
+    /** @return the load that should be checked now, or nullptr. */
+    const std::string *chooseDueCheck(Millis now) const;
     /**
      * Marks a call as in progress until its handler is called.
      *
@@ -135,7 +162,7 @@
     bool orderModel(const OrderContext &context, Millis now);
     void orderLoad(const OrderContext &context, const std::string &weights, Millis now);
     void orderUnload(const OrderContext &context, const std::string &weights, Millis now);
-    void onLoadResult(OrderResult result, const std::string &weights, int64_t version, Millis slowTime, Millis now);
+    void onLoadResult(OrderResult result, const std::string &weights, int64_t version, Millis now);
     void onUnloadResult(OrderResult result, const std::string &weights, Millis now);
     /**
      * Updates the order count and the time of the next order.
@@ -143,18 +170,25 @@
      * @return whether the order was accepted or completed.
      */
     bool applyResult(OrderResult result, Millis now);
+    /** Forgets the order count, so that the replica's report is fetched before the next order. */
+    void forgetAcceptedOrders();
+    /** @return the longest time until other hosts hear that a load is complete. */
+    Millis timeToConfirmation(const Slot &slot, Millis now) const;
     const std::string *choosePendingLoad(Millis now);
-    const std::string *chooseOutdated(const OrderContext &context, Millis now) const;
+    const std::string *chooseOutdated(const OrderContext &context) const;
     const std::string *chooseEvictionCandidate(Millis now) const;
     int64_t runningOf(const std::string &weights, Millis now) const;
-    int64_t loadsInProgress(Millis now) const;
+    int64_t loadsInProgress() const;
     void addRecentlyLoaded(const std::string &weights);
     bool isRecentlyLoaded(const std::string &weights) const;
 
     ReplicaId m_replica;
     OrderPort &m_orderPort;
     EventLog &m_log;
+    TransferTimes &m_transferTimes;
     std::optional<int64_t> m_acceptedOrders; ///< By the replica; unset while the replica's state is unknown.
+    int64_t m_leastAcceptedOrders = 0; ///< A report with a lower count is older than the last known order.
+    std::optional<UnansweredOrder> m_unanswered;
     std::map<std::string, Slot> m_slots;
     std::vector<std::string> m_models; ///< Resident base models.
     std::map<std::string, PendingLoad> m_pendingLoads;
