--- a/serving/dispatcher.cpp
+++ b/serving/dispatcher.cpp
@@ -368,7 +368,7 @@
     }
     if (active.isEngine) {
         // Loading the adapter, or full: other replicas are preferred, and it is tried again after a pause.
-        m_context.residency.setReadyAt(active.replica, active.request.weights, now + retryPause);
+        m_context.residency.pause(active.replica, active.request.weights, now + retryPause);
     } else {
         active.excluded.insert(active.replica);
     }
--- a/serving/enginechooser.cpp
+++ b/serving/enginechooser.cpp
@@ -81,9 +81,9 @@
         if (residence == residences.end()) {
             continue;
         }
-        if (residence->second.readyAt > now || residence->second.version < required) {
+        if (!residence->second.isUsable(now) || residence->second.version < required) {
             holders.availability.hasPendingLoad
-                = holders.availability.hasPendingLoad || residence->second.readyAt > now;
+                = holders.availability.hasPendingLoad || !residence->second.isUsable(now);
             continue;
         }
         ++holders.availability.holders;
--- a/serving/residencymap.cpp
+++ b/serving/residencymap.cpp
@@ -57,9 +57,7 @@
     for (const ResidentAdapter &adapter : report.adapters) {
         const AdapterResidency *known = find(report.replica, adapter.weights);
         AdapterResidency residency {adapter.version, now + Millis(adapter.readyInMs)};
-        if (known != nullptr && known->version == residency.version && adapter.readyInMs == 0 && known->readyAt > now) {
-            residency.readyAt = known->readyAt; // the replica itself answered that the adapter isn't ready yet
-        }
+        residency.pausedUntil = known == nullptr ? Millis(0) : known->pausedUntil;
         held[adapter.weights] = residency;
     }
     replace(report.replica, replica, held);
@@ -97,13 +95,13 @@
     }
 }
 
-void ResidencyMap::setReadyAt(const ReplicaId &replica, const std::string &weights, Millis until)
+void ResidencyMap::pause(const ReplicaId &replica, const std::string &weights, Millis until)
 {
     const auto holders = m_holders.find(weights);
     if (holders != m_holders.end()) {
         const auto residency = holders->second.find(replica);
         if (residency != holders->second.end()) {
-            residency->second.readyAt = until;
+            residency->second.pausedUntil = until;
         }
     }
 }
--- a/serving/residencymap.h
+++ b/serving/residencymap.h
@@ -24,6 +24,13 @@
 {
     int64_t version = 0;
     Millis readyAt; ///< When the adapter can be used.
+    Millis pausedUntil {0}; ///< Until then no request is sent, as the replica has just refused one.
+
+    /** @return whether requests for the adapter may be sent. */
+    bool isUsable(Millis now) const
+    {
+        return readyAt <= now && pausedUntil <= now;
+    }
 };
 
 /**
@@ -48,13 +55,13 @@
     /** Removes an adapter after the replica answered that it is not resident. */
     void onNotResident(const ReplicaId &replica, const std::string &weights);
     /**
-     * Changes when a resident adapter can be used, after the replica answered that it is still loading it.
+     * Sends no request for an adapter to a replica that has just refused one, for a short time.
      *
-     * @param replica where the adapter is loaded.
+     * @param replica the replica that refused the request.
      * @param weights "model/adapter".
-     * @param until when it is expected to be usable.
+     * @param until when requests may be sent again.
      */
-    void setReadyAt(const ReplicaId &replica, const std::string &weights, Millis until);
+    void pause(const ReplicaId &replica, const std::string &weights, Millis until);
     /** Removes a replica and everything resident in it. */
     void remove(const ReplicaId &replica);
 
