Place and refuse by the time to the first event

Cause: a replica counted as full at 16,000 unread prompt tokens, which is late by design where objectives are 500 ms. The time is fitted to what is observed; a replica's pace against the others comes in.

--- a/serving/activerequest.h
+++ b/serving/activerequest.h
@@ -52,6 +52,7 @@
     uint64_t attempt = 0; ///< 0 while it waits.
     ReplicaId replica; ///< Replica of the current or last attempt.
     Millis sentAt; ///< When the last attempt was sent.
+    double prefillAhead = 0; ///< Prompt tokens that its replica had to read when it was sent, its own included.
     double replicaLoad = 0; ///< Load of the replica when it was chosen, as a fraction of its slots.
     AdapterAvailability availability; ///< As of the last search for a replica.
     Millis answeredAt {-1}; ///< When the start of the response was forwarded; negative before.
--- a/serving/backendtable.cpp
+++ b/serving/backendtable.cpp
@@ -41,6 +41,7 @@
         state->failureRate = 0;
         state->consecutiveFailures = 0;
         state->avoidUntil = Millis(0);
+        state->pace = {};
     }
     state->isRemoved = false;
     // The entry may be older than the report of another host, so only a new incarnation overrides the report at once.
@@ -199,19 +200,21 @@
     return uses;
 }
 
-void BackendTable::onSent(const ReplicaId &id, int64_t tokens, int64_t pendingPrefill)
+void BackendTable::onSent(const ReplicaId &id, int64_t tokens, int64_t pendingPrefill, int priority)
 {
     if (BackendState *state = find(id)) {
         ++state->own.running;
         state->own.tokens += tokens;
         state->own.pendingPrefill += pendingPrefill;
+        state->ownPrefill[priority] += pendingPrefill;
     }
 }
 
-void BackendTable::onPromptProcessed(const ReplicaId &id, int64_t pendingPrefill)
+void BackendTable::onPromptProcessed(const ReplicaId &id, int64_t pendingPrefill, int priority)
 {
     if (BackendState *state = find(id)) {
         state->own.pendingPrefill -= pendingPrefill;
+        state->ownPrefill[priority] -= pendingPrefill;
     }
 }
 
--- a/serving/backendtable.h
+++ b/serving/backendtable.h
@@ -2,6 +2,7 @@
 
 #include "core/ids.h"
 #include "core/units.h"
+#include "policy/replicapace.h"
 #include "serving/backend.h"
 #include "serving/replicaload.h"
 
@@ -22,7 +23,9 @@
     Backend info;
     uint32_t shortId = 0; ///< Hash of the id, which identifies the server in messages between hosts.
     ReplicaLoad own; ///< Requests of this host.
+    std::map<int, int64_t> ownPrefill; ///< own.pendingPrefill by priority.
     ReplicaLoad peers; ///< Requests of the other hosts, from their last reports.
+    ReplicaPace pace; ///< Time to the first event against the other replicas, for engines.
     double failureRate = 0; ///< Moving average of the fraction of this host's requests that failed, 0 to 1.
     Millis avoidUntil {0}; ///< Until then it is chosen only if there is no alternative.
     int consecutiveFailures = 0;
@@ -93,11 +96,16 @@
      * @param id server that the request was sent to.
      * @param tokens that it occupies in the engine's KV cache.
      * @param pendingPrefill prompt tokens to process before the response starts.
+     * @param priority of the request; 0 is the most urgent.
      */
-    void onSent(const ReplicaId &id, int64_t tokens, int64_t pendingPrefill);
-    /** The prompt of a request was processed, or the request ended before. @param pendingPrefill as given to onSent().
+    void onSent(const ReplicaId &id, int64_t tokens, int64_t pendingPrefill, int priority);
+    /**
+     * The prompt of a request was processed, or the request ended before.
+     *
+     * @param pendingPrefill as given to onSent().
+     * @param priority as given to onSent().
      */
-    void onPromptProcessed(const ReplicaId &id, int64_t pendingPrefill);
+    void onPromptProcessed(const ReplicaId &id, int64_t pendingPrefill, int priority);
     /** A request ended. @param tokens as given to onSent(). */
     void onEnded(const ReplicaId &id, int64_t tokens);
     /** A request got a complete response. */
--- a/serving/dispatcher.cpp
+++ b/serving/dispatcher.cpp
@@ -185,7 +185,8 @@
     ++active.attemptCount;
     m_exchangeByAttempt[active.attempt] = active.request.exchange;
     active.pendingPrefill = active.request.promptTokens.value;
-    m_context.backends.onSent(backend.info.id, active.tokens, active.pendingPrefill);
+    m_context.chooser.onSending(active, backend);
+    m_context.backends.onSent(backend.info.id, active.tokens, active.pendingPrefill, active.priority);
     m_context.attempts.send(
         active.attempt, backend.info, active.request,
         {active.deadline - now, active.team, active.priority, active.isRetryable(), active.events.lastId()});
@@ -234,6 +235,9 @@
         if (now >= active->deadline || waitsTooLong) {
             overdue.push_back(exchange);
         }
+        if (active->attempt != 0 && active->isEngine && !active->isResponding()) {
+            m_context.chooser.onWaiting(*active, now);
+        }
     }
     for (const uint64_t exchange : overdue) {
         expire(*m_active.at(exchange));
@@ -304,7 +308,10 @@
         return;
     }
     active->answeredAt = m_context.clock.now();
-    m_context.backends.onPromptProcessed(active->replica, active->pendingPrefill);
+    if (active->isEngine && isSuccess) {
+        m_context.chooser.onFirstEvent(*active, active->answeredAt);
+    }
+    m_context.backends.onPromptProcessed(active->replica, active->pendingPrefill, active->priority);
     active->pendingPrefill = 0;
     m_context.callers.startAnswer(active->request.exchange, head.head);
 }
@@ -458,7 +465,7 @@
 void Dispatcher::releaseReplica(ActiveRequest &active)
 {
     m_exchangeByAttempt.erase(active.attempt);
-    m_context.backends.onPromptProcessed(active.replica, active.pendingPrefill);
+    m_context.backends.onPromptProcessed(active.replica, active.pendingPrefill, active.priority);
     m_context.backends.onEnded(active.replica, active.tokens);
     active.pendingPrefill = 0;
     active.attempt = 0;
--- a/serving/enginechooser.cpp
+++ b/serving/enginechooser.cpp
@@ -22,9 +22,8 @@
 constexpr double spreadThreshold = 0.6;
 // All slots are in use. Further requests would queue at the replica and could no longer be sent to another one.
 constexpr double fullLoad = 1.0;
-// Unprocessed prompt tokens at which a replica counts as full: about half a second of work for an engine, which keeps
-// the time to the first event within the objectives.
-constexpr double maxPendingPrefill = 16000;
+// Part of its objective for which a request that is late anyhow may wait for other prompts at its replica.
+constexpr double lateQueueFraction = 0.15;
 constexpr double noHolderLoad = 10.0; // exceeds the load of any replica
 
 }
@@ -39,7 +38,22 @@
 {
 }
 
-double EngineChooser::loadOf(const BackendState &state, const EngineSpec &engine)
+double EngineChooser::prefillAhead(const BackendState &state, const ActiveRequest &active) const
+{
+    double ahead = static_cast<double>(state.peers.pendingPrefill) * m_urgencyMix.fractionUpTo(active.priority);
+    for (const auto &[priority, tokens] : state.ownPrefill) {
+        ahead += priority <= active.priority ? static_cast<double>(tokens) : 0;
+    }
+    return ahead + static_cast<double>(active.request.promptTokens.value);
+}
+
+Millis EngineChooser::timeToRead(const BackendState &state, double tokens, Millis now) const
+{
+    return m_firstEvents.expected(tokens) * state.pace.factor(now);
+}
+
+double EngineChooser::loadOf(const BackendState &state, const ActiveRequest &active, const EngineSpec &engine,
+                             Millis now) const
 {
     const double bySlots = state.slotLoad();
     if (engine.cacheTokens == 0) {
@@ -47,9 +61,55 @@
     }
     const double byTokens
         = static_cast<double>(state.own.tokens + state.peers.tokens) / static_cast<double>(engine.cacheTokens);
-    const double byPrefill
-        = static_cast<double>(state.own.pendingPrefill + state.peers.pendingPrefill) / maxPendingPrefill;
-    return std::max({bySlots, byTokens, byPrefill});
+    const double byTime = static_cast<double>(timeToRead(state, prefillAhead(state, active), now).value)
+        / static_cast<double>(active.objective.value);
+    return std::max({bySlots, byTokens, byTime});
+}
+
+bool EngineChooser::hasRoom(const BackendState &state, const ActiveRequest &active, const EngineSpec &engine,
+                            Millis now) const
+{
+    if (state.slotLoad() >= fullLoad) {
+        return false;
+    }
+    if (engine.cacheTokens == 0) {
+        return true;
+    }
+    if (state.own.tokens + state.peers.tokens >= engine.cacheTokens) {
+        return false;
+    }
+    const Millis alone = timeToRead(state, static_cast<double>(active.request.promptTokens.value), now);
+    const Millis untilLate = (active.isResponding() ? active.waitDeadline : active.lateAfter) - now;
+    return timeToRead(state, prefillAhead(state, active), now)
+        <= std::max(untilLate, alone + active.objective * lateQueueFraction);
+}
+
+void EngineChooser::onSending(ActiveRequest &active, const BackendState &backend)
+{
+    active.prefillAhead = prefillAhead(backend, active);
+    m_urgencyMix.add(active.priority, static_cast<double>(active.request.promptTokens.value));
+}
+
+void EngineChooser::onFirstEvent(const ActiveRequest &active, Millis now)
+{
+    const Millis elapsed = now - active.sentAt;
+    if (BackendState *state = m_backends.find(active.replica)) {
+        const Millis expected = m_firstEvents.expected(active.prefillAhead);
+        state->pace.onFirstEvent(
+            static_cast<double>(elapsed.value) / static_cast<double>(std::max<int64_t>(expected.value, 1)), now);
+    }
+    m_firstEvents.observe(active.prefillAhead, elapsed);
+}
+
+void EngineChooser::onWaiting(const ActiveRequest &active, Millis now)
+{
+    const Millis expected = m_firstEvents.expected(active.prefillAhead);
+    const Millis elapsed = now - active.sentAt;
+    BackendState *state = m_backends.find(active.replica);
+    if (state != nullptr && elapsed > expected) {
+        state->pace.onWaiting(
+            static_cast<double>(elapsed.value) / static_cast<double>(std::max<int64_t>(expected.value, 1)), now);
+    }
 }
 
 ReplicaChoice EngineChooser::choose(const ActiveRequest &active, const EngineSpec &engine, Millis now)
@@ -63,7 +123,7 @@
     const Holders holders = evaluateHolders(active, usable, engine, now);
     ReplicaChoice choice {holders.best, nullptr, !usable.empty(), holders.availability};
     if (!holders.availability.hasPendingLoad && holders.leastLoad >= spreadThreshold) {
-        choice.loadTarget = chooseLoadTarget(active.request.weights, usable, engine, holders.best == nullptr, now);
+        choice.loadTarget = chooseLoadTarget(active, usable, engine, holders.best == nullptr, now);
     }
     return choice;
 }
@@ -87,11 +147,11 @@
             continue;
         }
         ++holders.availability.holders;
-        const double load = loadOf(*state, engine);
+        const double load = loadOf(*state, active, engine, now);
         if (now >= state->avoidUntil) {
             holders.leastLoad = std::min(holders.leastLoad, load);
         }
-        if (load >= fullLoad || active.excluded.count(state->info.id) > 0) {
+        if (!hasRoom(*state, active, engine, now) || active.excluded.count(state->info.id) > 0) {
             continue;
         }
         const double value = penalties.score(load, *state, m_domain, now);
@@ -103,15 +163,16 @@
     return holders;
 }
 
-BackendState *EngineChooser::chooseLoadTarget(const std::string &weights, const std::vector<BackendState *> &usable,
+BackendState *EngineChooser::chooseLoadTarget(const ActiveRequest &active, const std::vector<BackendState *> &usable,
                                               const EngineSpec &engine, bool isUrgent, Millis now) const
 {
+    const std::string &weights = active.request.weights;
     const int64_t required = m_versions.minimumVersion(weights, now);
     BackendState *firstWithout = nullptr;
     for (BackendState *state : preferredReplicas(weights, usable)) {
         const AdapterResidency *residence = m_residency.find(state->info.id, weights);
         const bool isHolder = residence != nullptr && (residence->version >= required || residence->readyAt > now);
-        if (!isHolder && loadOf(*state, engine) < spreadThreshold && now >= state->avoidUntil) {
+        if (!isHolder && loadOf(*state, active, engine, now) < spreadThreshold && now >= state->avoidUntil) {
             return state;
         }
         if (residence == nullptr && firstWithout == nullptr) {
--- a/serving/enginechooser.h
+++ b/serving/enginechooser.h
@@ -2,6 +2,8 @@
 
 #include "core/ids.h"
 #include "core/units.h"
+#include "policy/firsteventestimate.h"
+#include "policy/urgencymix.h"
 #include "serving/replicachoice.h"
 
 #include <cstdint>
@@ -25,6 +27,10 @@
  * Rendezvous hashing ranks the replicas for each adapter, so that all hosts prefer the same ones: there the adapter is
  * resident or loads fast, and prefixes of its prompts are cached. An adapter is loaded on further replicas in this
  * order as the first ones fill up.
+ *
+ * A replica is full for a request if the request's first event would be late there: the time is estimated from the
+ * prompts that wait there, the reading speed observed and the replica's pace against the others. A request that can't
+ * be in time anywhere is sent where hardly any prompt waits, so that it delays no other.
  */
 class EngineChooser
 {
@@ -48,6 +54,12 @@
      * @return the replica to send to and the replica to load the adapter on; either may be nullptr.
      */
     ReplicaChoice choose(const ActiveRequest &active, const EngineSpec &engine, Millis now);
+    /** A request is about to be sent to @p backend: records the prompt tokens that are ahead of its first event. */
+    void onSending(ActiveRequest &active, const BackendState &backend);
+    /** The first event of a request's response arrived. */
+    void onFirstEvent(const ActiveRequest &active, Millis now);
+    /** A request still waits for the first event of its response. */
+    void onWaiting(const ActiveRequest &active, Millis now);
 
 private:
     /** Evaluation of the replicas where an adapter is resident. */
@@ -63,26 +75,34 @@
     /**
      * Chooses a replica to load an adapter on.
      *
-     * @param weights "model/adapter".
+     * @param active the request that needs its adapter.
      * @param usable replicas of the pool that may get new requests.
      * @param engine capacity of the pool's engines.
      * @param isUrgent whether to accept a loaded replica if there is no other.
      * @param now current time.
      * @return where to load the adapter, or nullptr.
      */
-    BackendState *chooseLoadTarget(const std::string &weights, const std::vector<BackendState *> &usable,
+    BackendState *chooseLoadTarget(const ActiveRequest &active, const std::vector<BackendState *> &usable,
                                    const EngineSpec &engine, bool isUrgent, Millis now) const;
     /** @return the replicas that can load the adapter, in descending order of their rendezvous hash. */
     std::vector<BackendState *> preferredReplicas(const std::string &weights,
                                                   const std::vector<BackendState *> &usable) const;
-    /** @return a replica's load; 1 if its slots, its KV cache or its limit of pending prefill is reached. */
-    static double loadOf(const BackendState &state, const EngineSpec &engine);
+    /** @return a replica's load: 1 if its slots or its KV cache are full, or if it needs the whole objective. */
+    double loadOf(const BackendState &state, const ActiveRequest &active, const EngineSpec &engine, Millis now) const;
+    /** @return whether a request may be sent to the replica now. */
+    bool hasRoom(const BackendState &state, const ActiveRequest &active, const EngineSpec &engine, Millis now) const;
+    /** @return prompt tokens that the replica reads before a request's first event, the request's own included. */
+    double prefillAhead(const BackendState &state, const ActiveRequest &active) const;
+    /** @return time until the first event if @p tokens have to be read, at the replica's pace. */
+    Millis timeToRead(const BackendState &state, double tokens, Millis now) const;
 
     BackendTable &m_backends;
     ResidencyMap &m_residency;
     const AdapterVersions &m_versions;
     DomainId m_domain;
     CanLoad m_canLoad;
+    FirstEventEstimate m_firstEvents; ///< Of all engines.
+    UrgencyMix m_urgencyMix;
 };
 
 }
