Pace adapter transfers by their observed durations, first copies first

Cause: no bound on the transfers under way over all replicas; with more than the store carries each takes longer, so that all come late.

--- /dev/null
+++ b/policy/transferpacer.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "core/units.h"
+
+#include <cstdint>
+
+namespace vanillaspar
+{
+
+/**
+ * Paces the adapters that one host lets engines load from the weight store.
+ *
+ * Load it answers: many rare adapters that are asked for at once. The store transfers some number of adapters at full
+ * speed; with more under way each takes longer in proportion, so that all of them come too late instead of some. The
+ * number isn't known and is shared with the other hosts. As long as transfers take no longer than the fastest recent
+ * ones, this host starts more at a time, and fewer when they take longer.
+ */
+class TransferPacer
+{
+public:
+    /**
+     * Records a completed load, unless it was so fast that the replica must have had a copy in its own memory.
+     *
+     * @param took time from the order until the replica confirmed that the adapter is resident.
+     * @param now current time.
+     */
+    void onCompleted(Millis took, Millis now);
+    /**
+     * Decides whether this host may start another transfer.
+     *
+     * @param underWay transfers that this host has started and that aren't complete.
+     */
+    bool mayStart(int64_t underWay);
+    /** @return the recent average duration; a guess before the first completed load. */
+    Millis expected() const;
+    /** @return how old an incomplete load should be when the replica is asked again, given its age now. */
+    Millis nextCheckAge(Millis age) const;
+
+private:
+    /** @return the duration of the fastest recent transfers. */
+    Millis fastest() const;
+
+    double m_average = 0; ///< Milliseconds; 0 before the first completed load.
+    Millis m_fastest {0}; ///< In the current window; 0 if there was none.
+    Millis m_previousFastest {0}; ///< In the previous window.
+    Millis m_windowStart {0};
+    double m_limit = 4; ///< Transfers that this host may have under way.
+    bool m_wasLimited = false; ///< Whether a transfer had to wait since the limit was last changed.
+};
+
+}
--- a/serving/loadcoordinator.cpp
+++ b/serving/loadcoordinator.cpp
@@ -109,7 +109,7 @@
 {
     if (ReplicaOrders *orders = ordersOf(request.replica)) {
         orders->onAdapterRequest(request, m_context.clock.now());
-        sendDueOrder(request.replica);
+        sendDueOrders();
     }
 }
 
@@ -153,12 +153,28 @@
 {
     updateFreshness();
     dropOrders();
+    sendDueOrders();
+    publishReports();
+}
+
+void LoadCoordinator::sendDueOrders()
+{
+    // The loads of all replicas compete for the transfers that may be under way.
+    const Millis now = m_context.clock.now();
+    std::vector<std::pair<LoadUrgency, ReplicaId>> replicas;
     for (const auto &[replica, entry] : m_owners.entries()) {
         if (entry.host == m_context.settings.host) {
-            sendDueOrder(replica);
+            ReplicaOrders *orders = ordersOf(replica);
+            replicas.emplace_back(
+                orders == nullptr ? LoadUrgency() : orders->evaluatePendingLoads(m_context.residency, now), replica);
         }
     }
-    publishReports();
+    std::stable_sort(replicas.begin(), replicas.end(), [](const auto &a, const auto &b) {
+        return b.first < a.first;
+    });
+    for (const auto &[urgency, replica] : replicas) {
+        sendDueOrder(replica);
+    }
 }
 
 void LoadCoordinator::dropOrders()
@@ -176,9 +192,9 @@
     if (orders == nullptr) {
         const auto firstSequence = static_cast<uint64_t>(m_context.clock.wallNow().value);
         orders
-            = std::make_unique<ReplicaOrders>(replica, m_context.orders, m_context.log, m_transferTimes, firstSequence,
-                                              [this, replica] {
-                                                  sendDueOrder(replica);
+            = std::make_unique<ReplicaOrders>(replica, m_context.orders, m_context.log, m_transferPacer, firstSequence,
+                                              [this] {
+                                                  sendDueOrders();
                                               });
         m_context.log.record(EventCode::ReplicaTakenOver, replica.text(),
                              "fence " + std::to_string(entry.fencingNumber));
@@ -207,7 +223,8 @@
                                      m_context.versions,
                                      m_context.settings.host,
                                      Epoch(entry->fencingNumber),
-                                     mayLoadModel(engine->loadsPerSecond)};
+                                     mayLoadModel(engine->loadsPerSecond),
+                                     m_transferPacer.mayStart(adapterLoads())};
     if (orders.sendNextOrder(orderContext, now)) {
         m_modelLoadAt = now;
     }
--- a/serving/loadcoordinator.h
+++ b/serving/loadcoordinator.h
@@ -3,7 +3,7 @@
 #include "cluster/message.h"
 #include "core/ids.h"
 #include "core/units.h"
-#include "policy/transfertimes.h"
+#include "policy/transferpacer.h"
 #include "serving/ownertable.h"
 
 #include <cstdint>
@@ -131,6 +131,8 @@
     /** @return the orders of a replica, or nullptr. */
     ReplicaOrders *ordersOf(const ReplicaId &replica);
     ReplicaOrders &findOrCreateOrders(const ReplicaId &replica, const OwnerEntry &entry);
+    /** Sends the orders that are due for all replicas that this host owns, the most urgent first. */
+    void sendDueOrders();
     /** Sends the next order to the replica if this host may and one is due. */
     void sendDueOrder(const ReplicaId &replica);
     /** @return whether the weight store's rate allows this host to order another base model now. */
@@ -156,7 +158,7 @@
     OwnerTable m_owners;
     int64_t m_revision = 0;
     Millis m_freshAsOf {-1};
-    TransferTimes m_transferTimes; ///< Of loads from the weight store that this host ordered.
+    TransferPacer m_transferPacer; ///< Of loads from the weight store that this host ordered.
     std::map<ReplicaId, std::unique_ptr<ReplicaOrders>> m_orders;
     std::map<ReplicaId, Millis> m_ownedSince; ///< When this host first saw itself as a replica's owner.
     std::map<std::pair<ReplicaId, std::string>, Millis> m_requestedAt; ///< Adapters requested recently.
--- a/serving/replicaorders.cpp
+++ b/serving/replicaorders.cpp
@@ -1,11 +1,13 @@
 #include "serving/replicaorders.h"
 
 #include "core/eventlog.h"
-#include "policy/transfertimes.h"
+#include "policy/transferpacer.h"
 #include "serving/adapterversions.h"
+#include "serving/residencymap.h"
 #include "serving/weights.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace vanillaspar::serving
 {
@@ -33,12 +35,18 @@
 
 }
 
-ReplicaOrders::ReplicaOrders(ReplicaId replica, OrderPort &port, EventLog &log, TransferTimes &transferTimes,
+bool LoadUrgency::operator<(const LoadUrgency &other) const
+{
+    return std::tie(isNeeded, isFirstCopy, waiting, other.since)
+        < std::tie(other.isNeeded, other.isFirstCopy, other.waiting, since);
+}
+
+ReplicaOrders::ReplicaOrders(ReplicaId replica, OrderPort &port, EventLog &log, TransferPacer &transferPacer,
                              uint64_t firstSequence, std::function<void()> onIdle)
     : m_replica(std::move(replica))
     , m_orderPort(port)
     , m_log(log)
-    , m_transferTimes(transferTimes)
+    , m_transferPacer(transferPacer)
     , m_sequence(firstSequence)
     , m_onIdle(std::move(onIdle))
 {
@@ -50,6 +58,7 @@
     m_acceptedOrders.reset();
     m_leastAcceptedOrders = 0;
     m_unanswered.reset();
+    m_isStartingTransfer = false;
     m_slots.clear();
     m_models.clear();
     m_recentlyLoaded.clear();
@@ -106,7 +115,7 @@
 
 int64_t ReplicaOrders::adapterLoads() const
 {
-    return std::count_if(m_slots.begin(), m_slots.end(), [](const auto &entry) {
+    return (m_isStartingTransfer ? 1 : 0) + std::count_if(m_slots.begin(), m_slots.end(), [](const auto &entry) {
         return entry.second.isFromWeightStore && !entry.second.isReady;
     });
 }
@@ -132,10 +141,7 @@
     if (m_models.empty()) {
         return orderModel(context, now);
     }
-    if (const std::string *load = chooseDueCheck(now)) {
-        checkLoad(context, *load, now);
-        return false;
-    }
+    checkDueLoads(context, now);
     if (loadsInProgress() >= maxLoadsInProgress) {
         return false;
     }
@@ -143,7 +149,7 @@
         orderLoad(context, *outdated, now);
         return false;
     }
-    const std::string *pending = choosePendingLoad(now);
+    const std::string *pending = choosePendingLoad(context);
     if (pending == nullptr) {
         return false;
     }
@@ -187,28 +193,46 @@
     return nullptr;
 }
 
-const std::string *ReplicaOrders::choosePendingLoad(Millis now)
+LoadUrgency ReplicaOrders::evaluatePendingLoads(const ResidencyMap &residency, Millis now)
 {
-    const std::string *chosen = nullptr;
-    const PendingLoad *best = nullptr;
+    LoadUrgency highest;
     for (auto entry = m_pendingLoads.begin(); entry != m_pendingLoads.end();) {
         PendingLoad &pending = entry->second;
         const auto slot = m_slots.find(entry->first);
         const bool isHeld = slot != m_slots.end() && slot->second.version >= pending.version;
-        const bool isDisputed = isHeld && pending.wasMissing && slot->second.isReady && slot->second.readyAt + minResidency < now;
+        const bool isDisputed
+            = isHeld && pending.wasMissing && slot->second.isReady && slot->second.readyAt + minResidency < now;
         if (now - pending.requestedAt > pendingLoadLifetime || (isHeld && !isDisputed)) {
             entry = m_pendingLoads.erase(entry);
             continue;
         }
-        const bool hasModel = std::find(m_models.begin(), m_models.end(), modelOf(entry->first)) != m_models.end();
-        const bool isBetter = best == nullptr || pending.waiting > best->waiting
-            || (pending.waiting == best->waiting && pending.since < best->since);
-        if (hasModel && !adapterOf(entry->first).empty() && isBetter) {
-            chosen = &entry->first;
-            best = &pending;
-        }
+        const auto &holders = residency.holders(entry->first);
+        pending.isFirstCopy = std::none_of(holders.begin(), holders.end(), [&](const auto &holder) {
+            return holder.first != m_replica && holder.second.version >= pending.version;
+        });
+        highest = std::max(highest, urgencyOf(entry->first, pending));
         ++entry;
     }
+    return highest;
+}
+
+LoadUrgency ReplicaOrders::urgencyOf(const std::string &weights, const PendingLoad &pending) const
+{
+    const bool hasModel = std::find(m_models.begin(), m_models.end(), modelOf(weights)) != m_models.end();
+    return {hasModel && !adapterOf(weights).empty(), pending.isFirstCopy, pending.waiting, pending.since};
+}
+
+const std::string *ReplicaOrders::choosePendingLoad(const OrderContext &context) const
+{
+    const std::string *chosen = nullptr;
+    LoadUrgency highest;
+    for (const auto &[weights, pending] : m_pendingLoads) {
+        const LoadUrgency urgency = urgencyOf(weights, pending);
+        if ((context.mayTransfer || isRecentlyLoaded(weights)) && highest < urgency) {
+            chosen = &weights;
+            highest = urgency;
+        }
+    }
     return chosen;
 }
 
@@ -255,10 +279,18 @@
 std::function<void(Answer)> ReplicaOrders::markBusy(std::function<void(Answer)> handler)
 {
     m_isBusy = true;
+    return bindToIncarnation<Answer>([this, handler = std::move(handler)](Answer answer) {
+        m_isBusy = false;
+        handler(answer);
+    });
+}
+
+template<class Answer>
+std::function<void(Answer)> ReplicaOrders::bindToIncarnation(std::function<void(Answer)> handler)
+{
     const std::weak_ptr<bool> incarnation = m_incarnation;
-    return [this, incarnation, handler = std::move(handler)](Answer answer) {
+    return [incarnation, handler = std::move(handler)](Answer answer) {
         if (!incarnation.expired()) {
-            m_isBusy = false;
             handler(answer);
         }
     };
@@ -267,7 +299,9 @@
 void ReplicaOrders::orderLoad(const OrderContext &context, const std::string &weights, Millis now)
 {
     const int64_t version = context.versions.newestVersion(weights);
+    m_isStartingTransfer = m_slots.count(weights) > 0 || !isRecentlyLoaded(weights);
     sendOrder(context, true, weights, [this, weights, version, now](OrderResult result) {
+        m_isStartingTransfer = false;
         onLoadResult(result, weights, version, now);
         m_onIdle();
     });
@@ -286,7 +320,7 @@
     slot.isReady = result == OrderResult::Completed;
     slot.readyAt = now;
     slot.isFromWeightStore = isReplacement || !isRecentlyLoaded(weights);
-    slot.checkAt = now + m_transferTimes.nextCheckAge(Millis(0));
+    slot.checkAt = now + m_transferPacer.nextCheckAge(Millis(0));
     m_slots[weights] = slot;
     m_pendingLoads.erase(weights);
     addRecentlyLoaded(weights);
@@ -296,26 +330,24 @@
     }
 }
 
-const std::string *ReplicaOrders::chooseDueCheck(Millis now) const
+void ReplicaOrders::checkDueLoads(const OrderContext &context, Millis now)
 {
-    const std::string *chosen = nullptr;
-    Millis dueSince;
-    for (const auto &[weights, slot] : m_slots) {
-        if (!slot.isReady && !slot.isUnloading && slot.checkAt <= now
-            && (chosen == nullptr || slot.checkAt < dueSince)) {
-            chosen = &weights;
-            dueSince = slot.checkAt;
+    for (auto &[weights, slot] : m_slots) {
+        if (!slot.isReady && !slot.isUnloading && !slot.isChecking && slot.checkAt <= now) {
+            slot.isChecking = true;
+            checkLoad(context, weights, now);
         }
     }
-    return chosen;
 }
 
 void ReplicaOrders::checkLoad(const OrderContext &context, const std::string &weights, Millis now)
 {
-    m_orderPort.sendOrder(context.backend,
-                          {true, weights, context.host, context.fencingNumber, m_acceptedOrders},
-                          markBusy<OrderResult>([this, weights, now](OrderResult result) {
-                              onLoadChecked(result, weights, now);
+    m_orderPort.sendOrder(context.backend, {true, weights, context.host, context.fencingNumber, m_acceptedOrders},
+                          bindToIncarnation<OrderResult>([this, weights, now, count = m_acceptedOrders](OrderResult result) {
+                              // Another order may have overtaken this one and raised the count.
+                              const bool wasOvertaken = m_isBusy || count != m_acceptedOrders;
+                              onLoadChecked(wasOvertaken && result == OrderResult::Conflict ? OrderResult::Unknown : result,
+                                            weights, now);
                               m_onIdle();
                           }));
 }
@@ -327,13 +359,17 @@
         return;
     }
     Slot &slot = entry->second;
+    slot.isChecking = false;
     const Millis age = now - slot.orderedAt;
+    if (slot.isReady) {
+        return;
+    }
     if (result == OrderResult::Completed) {
         slot.isReady = true;
         slot.readyAt = now;
         slot.usedAt = now;
         m_isReportDue = true;
-        m_transferTimes.onCompleted(age);
+        m_transferPacer.onCompleted(age, now);
         logLoaded(weights, slot);
         return;
     }
@@ -342,7 +378,7 @@
         return;
     }
     slot.isFromWeightStore = true; // the replica's own memory would have been faster
-    slot.checkAt = slot.orderedAt + m_transferTimes.nextCheckAge(age);
+    slot.checkAt = slot.orderedAt + m_transferPacer.nextCheckAge(age);
 }
 
 void ReplicaOrders::logLoaded(const std::string &weights, const Slot &slot)
@@ -462,7 +498,7 @@
 
 Millis ReplicaOrders::timeToConfirmation(const Slot &slot, Millis now) const
 {
-    const Millis left = slot.orderedAt + m_transferTimes.expected() - now;
+    const Millis left = slot.orderedAt + m_transferPacer.expected() - now;
     return std::max(left, Millis(0)) + confirmationAllowance;
 }
 
--- a/serving/replicaorders.h
+++ b/serving/replicaorders.h
@@ -18,13 +18,14 @@
 namespace vanillaspar
 {
 class EventLog;
-class TransferTimes;
+class TransferPacer;
 }
 
 namespace vanillaspar::serving
 {
 
 class AdapterVersions;
+class ResidencyMap;
 
 /** Input of ReplicaOrders::sendNextOrder(): what the choice of an order depends on besides the replica itself. */
 struct OrderContext
@@ -35,6 +36,18 @@
     HostId host; ///< This host, the issuer of the order.
     Epoch fencingNumber; ///< Of this host's entry in the owner table.
     bool mayLoadModel = false; ///< Whether the weight store's rate allows another base model now.
+    bool mayTransfer = true; ///< Whether another adapter may be transferred from the weight store now.
+};
+
+/** How urgently a replica needs its next adapter; a greater one goes first. */
+struct LoadUrgency
+{
+    bool isNeeded = false; ///< Whether any adapter is needed.
+    bool isFirstCopy = false; ///< Whether no other replica has the adapter, so that requests for it can't be served.
+    int64_t waiting = 0; ///< Most requests that any host reported as waiting for it.
+    Millis since; ///< Since when it is needed.
+
+    bool operator<(const LoadUrgency &other) const;
 };
 
 /**
@@ -54,12 +67,12 @@
      * @param replica the replica to order loads for.
      * @param port sends the orders.
      * @param log receives events of loads, unloads and failed orders.
-     * @param transferTimes of loads from the weight store, shared by all replicas of this host.
+     * @param transferPacer of loads from the weight store, shared by all replicas of this host.
      * @param firstSequence start of the residency reports' sequence numbers, higher than any that this host used in
      * earlier incarnations.
      * @param onIdle called when an order is done and the next one may be due.
      */
-    ReplicaOrders(ReplicaId replica, OrderPort &port, EventLog &log, TransferTimes &transferTimes,
+    ReplicaOrders(ReplicaId replica, OrderPort &port, EventLog &log, TransferPacer &transferPacer,
                   uint64_t firstSequence, std::function<void()> onIdle);
 
     /**
@@ -71,6 +84,14 @@
     void onAdapterRequest(const AdapterRequest &request, Millis now);
     /** Records which adapters a host is using in this replica. */
     void onUseReport(const HostId &host, const AdapterUseReport &report, Millis now);
+    /**
+     * Evaluates the loads that hosts have requested, and drops those that aren't requested any more.
+     *
+     * @param residency what is resident in the other replicas.
+     * @param now current time.
+     * @return the urgency of the most urgent load.
+     */
+    LoadUrgency evaluatePendingLoads(const ResidencyMap &residency, Millis now);
     /** @return whether no order is in progress and no delay is pending, so that sendNextOrder() may send one. */
     bool isDue(Millis now) const;
     /**
@@ -111,6 +132,7 @@
         bool isUnloading = false; ///< An unload is ordered; the replica still finishes the requests that use it.
         Millis readyAt {0}; ///< When isReady became true.
         Millis checkAt {0}; ///< When to ask the replica whether the load is complete.
+        bool isChecking = false; ///< Whether the replica has been asked and didn't respond yet.
     };
     /** An adapter that hosts have requested and that isn't resident yet. */
     struct PendingLoad
@@ -120,6 +142,7 @@
         Millis since;
         Millis requestedAt;
         bool wasMissing = false; ///< Whether the replica answered a request that the adapter isn't resident.
+        bool isFirstCopy = false; ///< Whether no other replica has it.
     };
     /** What one host last reported to use in the replica. */
     struct HostUsage
@@ -146,10 +169,9 @@
     void repeatOrder(const OrderContext &context);
     /** Asks the replica whether a load is complete, by repeating its order. */
     void checkLoad(const OrderContext &context, const std::string &weights, Millis now);
+    void checkDueLoads(const OrderContext &context, Millis now);
     void onLoadChecked(OrderResult result, const std::string &weights, Millis now);
     void logLoaded(const std::string &weights, const Slot &slot);
-    /** @return the load that should be checked now, or nullptr. */
-    const std::string *chooseDueCheck(Millis now) const;
     /**
      * Marks a call as in progress until its handler is called.
      *
@@ -157,6 +179,9 @@
      */
     template<class Answer>
     std::function<void(Answer)> markBusy(std::function<void(Answer)> handler);
+    /** @return a wrapper of the handler that does nothing after a reset() or the destruction of this object. */
+    template<class Answer>
+    std::function<void(Answer)> bindToIncarnation(std::function<void(Answer)> handler);
     void fetchReport(const OrderContext &context, Millis now);
     void onReport(const std::optional<EngineResidency> &residency, Millis now);
     bool orderModel(const OrderContext &context, Millis now);
@@ -174,7 +199,9 @@
     void forgetAcceptedOrders();
     /** @return the longest time until other hosts hear that a load is complete. */
     Millis timeToConfirmation(const Slot &slot, Millis now) const;
-    const std::string *choosePendingLoad(Millis now);
+    /** @return the urgency of a requested load; LoadUrgency::isNeeded is false if it can't be ordered. */
+    LoadUrgency urgencyOf(const std::string &weights, const PendingLoad &pending) const;
+    const std::string *choosePendingLoad(const OrderContext &context) const;
     const std::string *chooseOutdated(const OrderContext &context) const;
     const std::string *chooseEvictionCandidate(Millis now) const;
     int64_t runningOf(const std::string &weights, Millis now) const;
@@ -185,7 +212,7 @@
     ReplicaId m_replica;
     OrderPort &m_orderPort;
     EventLog &m_log;
-    TransferTimes &m_transferTimes;
+    TransferPacer &m_transferPacer;
     std::optional<int64_t> m_acceptedOrders; ///< By the replica; unset while the replica's state is unknown.
     int64_t m_leastAcceptedOrders = 0; ///< A report with a lower count is older than the last known order.
     std::optional<UnansweredOrder> m_unanswered;
@@ -199,6 +226,7 @@
     uint64_t m_sequence; ///< Of the last residency report.
     std::function<void()> m_onIdle;
     bool m_isBusy = false; ///< An order or a query is in progress.
+    bool m_isStartingTransfer = false; ///< The order in progress loads an adapter from the weight store.
     bool m_isLoadingModel = false;
     bool m_isReportDue = false;
     Millis m_reportedAt {-1};
