--- a/policy/transferpacer.cpp
+++ b/policy/transferpacer.cpp
@@ -17,6 +17,9 @@
 constexpr double recheckFraction = 0.08; // of the load's age
 constexpr Millis minRecheckInterval(10);
 constexpr Millis fastestWindow(15000);
+// Longest time between the last two answers on a load whose duration is used, and that as a part of the duration.
+constexpr Millis minUncertainty(40);
+constexpr double maxUncertainty = 0.15;
 // Multiples of the fastest time. Durations are known only to within the interval of the checks.
 constexpr double fullSpeedFactor = 1.15;
 constexpr double slowedFactor = 1.35;
@@ -34,9 +37,11 @@
     return std::min(m_fastest, m_previousFastest);
 }
 
-void TransferPacer::onCompleted(Millis took, Millis now)
+void TransferPacer::onCompleted(Millis incompleteAt, Millis completeAt, Millis now)
 {
-    if (took < expected() * memoryLoadFraction) {
+    const Millis took = completeAt;
+    const bool isKnownWell = completeAt - incompleteAt <= std::max(completeAt * maxUncertainty, minUncertainty);
+    if (completeAt < expected() * memoryLoadFraction || !isKnownWell) {
         return;
     }
     const auto millis = static_cast<double>(took.value);
--- a/policy/transferpacer.h
+++ b/policy/transferpacer.h
@@ -19,12 +19,14 @@
 {
 public:
     /**
-     * Records a completed load, unless it was so fast that the replica must have had a copy in its own memory.
+     * Records a completed load, unless it was so fast that the replica must have had a copy in its own memory, or too
+     * little is known of when it was complete.
      *
-     * @param took time from the order until the replica confirmed that the adapter is resident.
+     * @param incompleteAt age of the load when the replica last stated that it wasn't complete; 0 if it never did.
+     * @param completeAt age of the load when the replica stated that the adapter is resident.
      * @param now current time.
      */
-    void onCompleted(Millis took, Millis now);
+    void onCompleted(Millis incompleteAt, Millis completeAt, Millis now);
     /**
      * Decides whether this host may start another transfer.
      *
--- a/serving/replicaorders.cpp
+++ b/serving/replicaorders.cpp
@@ -369,7 +369,7 @@
         slot.readyAt = now;
         slot.usedAt = now;
         m_isReportDue = true;
-        m_transferPacer.onCompleted(age, now);
+        m_transferPacer.onCompleted(slot.incompleteAt, age, now);
         logLoaded(weights, slot);
         return;
     }
@@ -377,7 +377,10 @@
         applyResult(result, now);
         return;
     }
-    slot.isFromWeightStore = true; // the replica's own memory would have been faster
+    if (result == OrderResult::Accepted) {
+        slot.isFromWeightStore = true; // the replica's own memory would have been faster
+        slot.incompleteAt = age;
+    }
     slot.checkAt = slot.orderedAt + m_transferPacer.nextCheckAge(age);
 }
 
--- a/serving/replicaorders.h
+++ b/serving/replicaorders.h
@@ -132,6 +132,7 @@
         bool isUnloading = false; ///< An unload is ordered; the replica still finishes the requests that use it.
         Millis readyAt {0}; ///< When isReady became true.
         Millis checkAt {0}; ///< When to ask the replica whether the load is complete.
+        Millis incompleteAt {0}; ///< Age of the load when the replica last stated that it isn't complete.
         bool isChecking = false; ///< Whether the replica has been asked and didn't respond yet.
     };
     /** An adapter that hosts have requested and that isn't resident yet. */
