--- a/serving/dispatcher.cpp
+++ b/serving/dispatcher.cpp
@@ -23,6 +23,7 @@
 // needed to process its prompt.
 constexpr double maxWaitFraction = 0.75;
 constexpr Millis normalWait(300); // time to request an adapter and load it from the weight store
+constexpr Millis usualLoadTime(300);
 constexpr Millis resumeWait(600); // callers abandon a stream after some seconds without an event
 constexpr int maxAttempts = 4; // per request; a refused attempt is cheap, but is charged to the retry budget
 constexpr Millis retryPause(25); // before a request is sent again to a replica that refused it
@@ -162,7 +163,9 @@
         return Placement::Ended;
     }
     if (choice.loadTarget != nullptr) {
-        m_wantedLoads[{choice.loadTarget->info.id, active.request.weights}] += 1;
+        // A request that is late anyhow doesn't delay loads that others need to be in time.
+        const bool canBeInTime = now + usualLoadTime < active.lateAfter;
+        m_wantedLoads[{choice.loadTarget->info.id, active.request.weights}] += canBeInTime ? 1 : 0;
     }
     if (choice.backend != nullptr) {
         send(active, *choice.backend);
--- a/serving/replicaorders.cpp
+++ b/serving/replicaorders.cpp
@@ -37,8 +37,10 @@
 
 bool LoadUrgency::operator<(const LoadUrgency &other) const
 {
-    return std::tie(isNeeded, isFirstCopy, waiting, other.since)
-        < std::tie(other.isNeeded, other.isFirstCopy, other.waiting, since);
+    const bool isInTime = waiting > 0;
+    const bool isOtherInTime = other.waiting > 0;
+    return std::tie(isNeeded, isInTime, isFirstCopy, waiting, other.since)
+        < std::tie(other.isNeeded, isOtherInTime, other.isFirstCopy, other.waiting, since);
 }
 
 ReplicaOrders::ReplicaOrders(ReplicaId replica, OrderPort &port, EventLog &log, TransferPacer &transferPacer,
@@ -75,7 +77,7 @@
         pending.since = now;
     }
     pending.version = std::max(pending.version, request.version);
-    pending.waiting = std::max<int64_t>(pending.waiting, request.waiting);
+    pending.waiting = request.waiting;
     pending.requestedAt = now;
     pending.wasMissing = pending.wasMissing || request.wasMissing;
 }
