Load an evicted adapter where a copy lies

The early refusal comes back in the form that a request is refused at once if its expected wait reaches the time at which it would be refused anyhow.

--- a/serving/dispatcher.cpp
+++ b/serving/dispatcher.cpp
@@ -118,7 +118,7 @@
     const bool isTooLong
         = m_context.clock.now() + wait > active.request.receivedAt + active.objective * maxWaitFraction;
     // A stream to be resumed is not refused early; it waits for up to resumeWait.
-    if (isTooLong && !active.isResponding() && !active.isEngine) {
+    if (isTooLong && !active.isResponding()) {
         refuse(active,
                {RefusalCode::Overloaded, RunState::NotRun, std::max(wait, overloadRetry),
                 "expected wait " + std::to_string(wait.value) + " ms behind " + std::to_string(ahead) + " requests"});
--- a/serving/enginechooser.cpp
+++ b/serving/enginechooser.cpp
@@ -168,8 +168,16 @@
 {
     const std::string &weights = active.request.weights;
     const int64_t required = m_versions.minimumVersion(weights, now);
+    const std::vector<BackendState *> preferred = preferredReplicas(weights, usable);
+    for (BackendState *state : preferred) {
+        const bool isCached = m_residency.find(state->info.id, weights) == nullptr
+            && m_residency.wasHeldLately(state->info.id, weights);
+        if (isCached && now >= state->avoidUntil && loadOf(*state, active, engine, now) < fullLoad) {
+            return state;
+        }
+    }
     BackendState *firstWithout = nullptr;
-    for (BackendState *state : preferredReplicas(weights, usable)) {
+    for (BackendState *state : preferred) {
         const AdapterResidency *residence = m_residency.find(state->info.id, weights);
         const bool isHolder = residence != nullptr && (residence->version >= required || residence->readyAt > now);
         if (!isHolder && loadOf(*state, active, engine, now) < spreadThreshold && now >= state->avoidUntil) {
--- a/serving/residencymap.h
+++ b/serving/residencymap.h
@@ -4,6 +4,7 @@
 #include "core/units.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -73,6 +74,11 @@
      * @return its residency, or nullptr if it isn't resident there.
      */
     const AdapterResidency *find(const ReplicaId &replica, const std::string &weights) const;
+    /**
+     * @return whether the adapter was evicted from the replica lately, so that the replica probably keeps a copy in its
+     *     own memory and loads it much faster than others.
+     */
+    bool wasHeldLately(const ReplicaId &replica, const std::string &weights) const;
     /** @return the replicas in which the adapter is resident or being loaded. */
     const std::map<ReplicaId, AdapterResidency> &holders(const std::string &weights) const;
 
@@ -84,10 +90,12 @@
         uint64_t reportSequence = 0;
         Millis reportedAt {-1}; ///< Arrival of the last report on this incarnation; negative if there was none.
         std::vector<std::string> weights;
+        std::deque<std::string> evicted; ///< Adapters evicted lately, the newest last.
     };
 
     /** Replaces everything that is resident in a replica. */
     void replace(const ReplicaId &id, Replica &replica, const std::map<std::string, AdapterResidency> &held);
+    static void addEvicted(Replica &replica, const std::string &weights);
 
     std::map<ReplicaId, Replica> m_replicas;
     std::unordered_map<std::string, std::map<ReplicaId, AdapterResidency>> m_holders;
