--- a/policy/fleetquota.cpp
+++ b/policy/fleetquota.cpp
@@ -22,6 +22,8 @@
 // Covers the time in which a hub's failure can lose a host's report: one heartbeat of the host and one of the hub.
 constexpr Millis recentSpan(300);
 constexpr Millis unknownHostsDelay(200); // until a host that has just started knows which hosts share the bucket
+constexpr Millis peerLevelLifetime(400); // some heartbeats
+constexpr double convergence = 0.03; // part of the difference to the median, for each report of a level
 constexpr Millis maxRetryDelay(10000); // told to callers also if the bucket needs longer or never has a token
 
 }
@@ -99,6 +101,26 @@
     }
 }
 
+void FleetQuota::onPeerLevel(const HostId &host, double level, Millis now)
+{
+    refill(now);
+    Peer &peer = m_peers[host];
+    peer.level = level;
+    peer.levelAt = now;
+    if (!isLevelKnown(now)) {
+        return;
+    }
+    std::vector<double> levels {m_level};
+    for (const auto &[name, other] : m_peers) {
+        if (other.levelAt.value >= 0 && now - other.levelAt < peerLevelLifetime) {
+            levels.push_back(other.level);
+        }
+    }
+    const auto middle = levels.begin() + static_cast<std::ptrdiff_t>((levels.size() - 1) / 2);
+    std::nth_element(levels.begin(), middle, levels.end()); // of two middle ones the lower
+    m_level = std::min(m_level + (*middle - m_level) * convergence, m_burst * reachableFraction());
+}
+
 bool FleetQuota::isLevelKnown(Millis now) const
 {
     return m_isLevelKnown || (m_hostsKnownSince.value >= 0 && now - m_hostsKnownSince > levelDiscoveryTime);
--- a/policy/fleetquota.h
+++ b/policy/fleetquota.h
@@ -80,6 +80,17 @@
      * @param now current time.
      */
     void adoptInitialLevel(double level, Millis now);
+    /**
+     * Moves the level a little towards the median of all copies that other hosts reported lately.
+     *
+     * All copies of an exhausted bucket change by the same amounts. So a copy that once started too low or too high
+     * would stay so for as long as the team asks for more than its rate.
+     *
+     * @param host the host that reported its copy.
+     * @param level tokens in that copy.
+     * @param now current time.
+     */
+    void onPeerLevel(const HostId &host, double level, Millis now);
     /** @return the last count that @p host reported; nothing before its first report in this incarnation. */
     std::optional<int64_t> lastReportedCount(const HostId &host) const;
     /**
@@ -148,6 +159,8 @@
         std::string incarnation; ///< Empty while the count is unknown.
         int64_t admitted = 0; ///< Count of its last report.
         int64_t counted = 0; ///< Tokens that its reports have subtracted here.
+        double level = 0; ///< Tokens in its copy of the bucket.
+        Millis levelAt {-1}; ///< When it reported that level; negative if it never did.
     };
 
     void refill(Millis now);
--- a/serving/dispatcher.cpp
+++ b/serving/dispatcher.cpp
@@ -19,9 +19,6 @@
 namespace
 {
 
-// A request whose expected wait exceeds this fraction of its objective is refused at once: the rest of the time is
-// needed to process its prompt.
-constexpr double maxWaitFraction = 0.75;
 constexpr Millis normalWait(300); // time to request an adapter and load it from the weight store
 constexpr Millis usualLoadTime(300);
 constexpr Millis resumeWait(600); // callers abandon a stream after some seconds without an event
@@ -115,8 +112,7 @@
     }
     const int64_t ahead = countAhead(active);
     const Millis wait = m_waitEstimates[active.pool].expectedWait(ahead);
-    const bool isTooLong
-        = m_context.clock.now() + wait > active.request.receivedAt + active.objective * maxWaitFraction;
+    const bool isTooLong = m_context.clock.now() + wait > active.waitDeadline;
     // A stream to be resumed is not refused early; it waits for up to resumeWait.
     if (isTooLong && !active.isResponding()) {
         refuse(active,
--- a/serving/heartbeatexchange.cpp
+++ b/serving/heartbeatexchange.cpp
@@ -195,6 +195,7 @@
         quota.onReport(from, heartbeat.incarnation.text(), use.admitted, now, isOwnLeafHost, use.recentlyAdmitted);
         if (mayLearnLevel && use.isLevelKnown) {
             quota.adoptInitialLevel(static_cast<double>(use.level), now);
+            quota.onPeerLevel(from, static_cast<double>(use.level), now);
         }
     });
 }
--- a/serving/heartbeatexchange.h
+++ b/serving/heartbeatexchange.h
@@ -58,6 +58,8 @@
      * @param heartbeat its content.
      */
     void receive(const HostId &from, const HostHeartbeat &heartbeat);
+    /** Empties the copies of the token buckets, for when it isn't known what other hosts have admitted. */
+    void emptyTokenBuckets();
 
 private:
     HeartbeatScope scopeFor(const HostId &receiver) const;
@@ -78,7 +80,6 @@
     void discardReport(const HostId &host);
     /** Records a host's counters without applying them, as the baseline if this host becomes its hub. */
     void trackCounts(const HostId &from, const HostHeartbeat &heartbeat);
-    void emptyTokenBuckets();
     /** Passes the number of unreachable hosts to the quotas, and drops the usage of these hosts. */
     void updateReachability();
     /** Logs which hosts became reachable and which unreachable. */
--- a/serving/hostregistry.cpp
+++ b/serving/hostregistry.cpp
@@ -16,15 +16,20 @@
 {
 
 constexpr Millis writeRetryInterval(500);
-// Until its record is removed, a lost host still counts when quotas are divided, so its share of each stays unused. A
-// host that was only cut off writes its record again.
-constexpr Millis recordRetention(15000);
+// Beyond the time for which a silent host may use a configuration that it can't confirm.
+constexpr Millis removalMargin(1000);
 
 }
 
 HostRegistry::HostRegistry(const ServingSettings &settings, const Clock &clock, StateStore &store, EventLog &log,
-                           const FleetMembers &members, RecordMirror &coordination)
-    : m_settings(settings), m_clock(clock), m_store(store), m_log(log), m_members(members), m_coordination(coordination)
+                           const FleetMembers &members, RecordMirror &coordination, std::function<void()> onRemoved)
+    : m_settings(settings)
+    , m_clock(clock)
+    , m_store(store)
+    , m_log(log)
+    , m_members(members)
+    , m_coordination(coordination)
+    , m_onRemoved(std::move(onRemoved))
 {
 }
 
@@ -36,6 +41,7 @@
     const bool isKnown = known != m_coordination.records().end();
     if (m_isInMirror && !isKnown) {
         m_isRegistered = false; // another host removed it while this one was cut off
+        m_onRemoved();
     }
     m_isInMirror = isKnown;
     if (m_isRegistered || m_isWriting || !m_coordination.isLoaded() || now < m_nextWriteAt) {
@@ -63,6 +69,10 @@
 
 void HostRegistry::removeLostHost()
 {
+    // Until its record is removed, a lost host still counts when quotas are divided, so its share of each stays unused.
+    // A host that doesn't reach the store admits nothing after the revocation limit, as it can't confirm its
+    // configuration any more. One that does was only cut off from its peers, and writes its record again.
+    const Millis recordRetention = m_settings.revokeLimit + removalMargin;
     const Millis now = m_clock.now();
     for (const auto &[host, member] : m_members.peers()) {
         const auto record = m_coordination.records().find(FleetMembers::recordName(host));
--- a/serving/hostregistry.h
+++ b/serving/hostregistry.h
@@ -2,6 +2,8 @@
 
 #include "core/units.h"
 
+#include <functional>
+
 namespace vanillaspar
 {
 class Clock;
@@ -20,12 +22,13 @@
 class HostRegistry
 {
 public:
+    /** @param onRemoved called when another host has removed this host's record. */
     HostRegistry(const ServingSettings &settings, const Clock &clock, StateStore &store, EventLog &log,
-                 const FleetMembers &members, RecordMirror &coordination);
+                 const FleetMembers &members, RecordMirror &coordination, std::function<void()> onRemoved);
 
     /** Writes this host's record if the store's is missing or different. */
     void tick();
-    /** Removes the record of one host that has been silent for 15 s; to be called on the leader only. */
+    /** Removes the record of one host that has been silent for too long; to be called on the leader only. */
     void removeLostHost();
 
     /** @return whether the store has this host's current record. */
@@ -41,6 +44,7 @@
     EventLog &m_log;
     const FleetMembers &m_members;
     RecordMirror &m_coordination;
+    std::function<void()> m_onRemoved;
     bool m_isRegistered = false;
     bool m_isInMirror = false; ///< Whether the mirror had the record at the last tick.
     bool m_isWriting = false;
--- a/serving/servingnode.cpp
+++ b/serving/servingnode.cpp
@@ -113,7 +113,10 @@
     , m_loads({m_settings, m_ports.clock, m_ports.store, m_ports.peers, m_ports.orders, m_ports.log, m_admission,
                m_members, m_backends, m_residency, m_versions, m_coordination})
     , m_heartbeats({m_settings, m_ports.clock, m_ports.peers, m_ports.log, m_members, m_admission, m_backends})
-    , m_registry(m_settings, m_ports.clock, m_ports.store, m_ports.log, m_members, m_coordination)
+    , m_registry(m_settings, m_ports.clock, m_ports.store, m_ports.log, m_members, m_coordination,
+                 [this] {
+                     m_heartbeats.emptyTokenBuckets(); // the others have used this host's share meanwhile
+                 })
     , m_startedAt(m_ports.clock.now())
 {
     setSettings(m_settings);
