--- a/serving/enginechooser.cpp
+++ b/serving/enginechooser.cpp
@@ -19,7 +19,7 @@
 // A replica of the own domain is preferred at about equal load. A failure rate of a tenth counts as a fifth more load.
 constexpr ReplicaPenalties penalties {0.04, 2.0, 10.0};
 // Above this load a replica still takes requests, but loading the adapter on another replica pays off.
-constexpr double spreadThreshold = 0.6;
+constexpr double spreadThreshold = 0.85;
 // All slots are in use. Further requests would queue at the replica and could no longer be sent to another one.
 constexpr double fullLoad = 1.0;
 // Part of its objective for which a request that is late anyhow may wait for other prompts at its replica.
