--- a/policy/fleetquota.cpp
+++ b/policy/fleetquota.cpp
@@ -22,7 +22,6 @@
 // Covers the time in which a hub's failure can lose a host's report: one heartbeat of the host and one of the hub.
 constexpr Millis recentSpan(300);
 constexpr Millis unknownHostsDelay(200); // until a host that has just started knows which hosts share the bucket
-constexpr Millis shortageMemory(500); // after the last refusal of a request that could be in time
 constexpr Millis peerLevelLifetime(400); // some heartbeats
 constexpr double convergence = 0.03; // part of the difference to the median, for each report of a level
 constexpr Millis maxRetryDelay(10000); // told to callers also if the bucket needs longer or never has a token
@@ -158,29 +157,12 @@
     return m_admitted + m_reportedByOthers - (peer == m_peers.end() ? 0 : peer->second.counted);
 }
 
-bool FleetQuota::tryConsume(double cost, Millis now, bool isLate)
+bool FleetQuota::tryConsume(double cost, Millis now)
 {
     if (!isLimited()) {
         return true;
     }
     refill(now);
-    if (isLate && now - m_shortageAt < shortageMemory) {
-        return false;
-    }
-    if (!isAvailable(cost, now)) {
-        m_shortageAt = isLate ? m_shortageAt : now;
-        return false;
-    }
-    m_allowance -= cost;
-    m_level -= cost;
-    m_admitted += static_cast<int64_t>(cost);
-    advanceRecentSpan(now);
-    m_recentCurrent += static_cast<int64_t>(cost);
-    return true;
-}
-
-bool FleetQuota::isAvailable(double cost, Millis now)
-{
     if (m_hosts == 0) {
         return false;
     }
@@ -191,7 +173,15 @@
             return false;
         }
     }
-    return isWithinAllowance(cost, now);
+    if (!isWithinAllowance(cost, now)) {
+        return false;
+    }
+    m_allowance -= cost;
+    m_level -= cost;
+    m_admitted += static_cast<int64_t>(cost);
+    advanceRecentSpan(now);
+    m_recentCurrent += static_cast<int64_t>(cost);
+    return true;
 }
 
 void FleetQuota::refund(double cost, Millis now)
--- a/policy/fleetquota.h
+++ b/policy/fleetquota.h
@@ -117,15 +117,11 @@
      * The rest of the cost becomes a debt that later refills pay. If the whole cost had to be in the bucket, small
      * requests would consume every token and a large request would never be admitted.
      *
-     * While requests that could be answered in time are refused, those that are late anyhow are refused too, as they
-     * would use the tokens of others.
-     *
      * @param cost tokens that the request is expected to use.
      * @param now current time.
-     * @param isLate whether the request's latency objective has passed already.
      * @return whether the request is admitted. Always true without a limit, false before setHosts().
      */
-    bool tryConsume(double cost, Millis now, bool isLate = false);
+    bool tryConsume(double cost, Millis now);
     /** Returns the @p cost in tokens of a request that was admitted and not executed. */
     void refund(double cost, Millis now);
 
@@ -174,8 +170,6 @@
     double refillFraction() const;
     /** Starts a new span of recentlyAdmitted() when the current one is over. */
     void advanceRecentSpan(Millis now);
-    /** @return whether the bucket and this host's allowance suffice for @p cost tokens. */
-    bool isAvailable(double cost, Millis now);
     /** @return whether this host may consume @p cost tokens before the other hosts' reports arrive. */
     bool isWithinAllowance(double cost, Millis now);
 
@@ -202,7 +196,6 @@
     Millis m_hostsKnownSince {-1}; ///< When setHosts() was first called, or the bucket emptied; negative before.
     bool m_isLevelKnown = false;
     bool m_isLevelFromHub = false;
-    Millis m_shortageAt {INT64_MIN / 2}; ///< When a request that could be in time was last refused.
     Millis m_retriesBookedUntil {0}; ///< Until then the refill is reserved for refused callers.
     std::map<HostId, Peer> m_peers;
 };
--- a/serving/admission.cpp
+++ b/serving/admission.cpp
@@ -28,12 +28,6 @@
             quota.setLevelFromHub(m_hasQuotaLevelFromHub, now);
         }
     }
-    for (auto entry = m_callerAges.begin(); entry != m_callerAges.end();) {
-        const bool isKnown = std::any_of(m_config->routes.begin(), m_config->routes.end(), [&](const Route &route) {
-            return route.name == entry->first;
-        });
-        entry = isKnown ? std::next(entry) : m_callerAges.erase(entry);
-    }
     for (auto entry = m_quotas.begin(); entry != m_quotas.end();) {
         const bool isKnown = std::any_of(m_config->teams.begin(), m_config->teams.end(), [&](const Team &team) {
             return team.id == entry->first;
@@ -97,17 +91,13 @@
         return Refusal {RefusalCode::NoReplica, RunState::NotRun, confirmRetry,
                         "the pool of the route is not configured"};
     }
-    if (request.callerTimeout) {
-        admitted.callerAge = m_callerAges[admitted.route->name].observe(*request.callerTimeout);
-    }
     if (admitted.team != nullptr) {
         admitted.cost = 1;
         if (admitted.team->isCountedInTokens) {
             admitted.cost = request.tokens ? static_cast<double>(request.tokens->value) : admitted.team->defaultTokens;
         }
         FleetQuota &quota = m_quotas[admitted.team->id];
-        const bool isLate = admitted.callerAge >= admitted.route->objective;
-        if (!quota.tryConsume(admitted.cost, now, isLate)) {
+        if (!quota.tryConsume(admitted.cost, now)) {
             return Refusal {RefusalCode::OverRate, RunState::NotRun, quota.reserveRetryDelay(admitted.cost, now),
                             "team " + admitted.team->id.text()
                                 + " is over its rate: tokens=" + std::to_string(static_cast<int64_t>(quota.level(now)))
--- a/serving/admission.h
+++ b/serving/admission.h
@@ -3,7 +3,6 @@
 #include "core/ids.h"
 #include "core/refusal.h"
 #include "core/units.h"
-#include "policy/callerage.h"
 #include "policy/fleetquota.h"
 #include "serving/routetable.h"
 #include "serving/servingconfig.h"
@@ -31,7 +30,6 @@
     const Pool *pool = nullptr;
     const Team *team = nullptr; ///< Team of the API key; nullptr without a known key.
     int priority = 0; ///< 0 is the most urgent.
-    Millis callerAge {0}; ///< For how long the caller has been trying.
     double cost = 0; ///< Charged to the team's quota.
 };
 
@@ -101,7 +99,6 @@
     std::shared_ptr<const ServingConfig> m_config;
     std::unique_ptr<RouteTable> m_routes;
     std::map<TeamId, FleetQuota> m_quotas;
-    std::map<RouteName, CallerAge> m_callerAges;
     int64_t m_quotaHosts = 0; ///< Hosts that share the quotas; 0 until setQuotaHosts() is called.
     int64_t m_silentHosts = 0;
     Millis m_quotaLag {0};
