Start pacing low, so that the full speed of the store is seen

Cause: a test in virtual time: hosts that start with more than the store carries take the slow time for the full speed.

--- a/policy/transferpacer.cpp
+++ b/policy/transferpacer.cpp
@@ -16,46 +16,47 @@
 constexpr double firstCheckFraction = 0.9;
 constexpr double recheckFraction = 0.08; // of the load's age
 constexpr Millis minRecheckInterval(10);
-constexpr Millis fastestWindow(15000);
+// The store may have become slower for good, so the fastest time is raised a little now and then.
+constexpr Millis fastestRaiseInterval(15000);
+constexpr double fastestRaise = 1.03;
 // Longest time between the last two answers on a load whose duration is used, and that as a part of the duration.
 constexpr Millis minUncertainty(40);
 constexpr double maxUncertainty = 0.15;
 // Multiples of the fastest time. Durations are known only to within the interval of the checks.
 constexpr double fullSpeedFactor = 1.15;
 constexpr double slowedFactor = 1.35;
-constexpr double limitGrowth = 0.5; // divided by the limit, for each transfer at full speed
+constexpr double firstGrowth = 1; // for each transfer at full speed, until one is slowed
+constexpr double limitGrowth = 0.5; // later, divided by the limit
 constexpr double limitReduction = 0.3;
 constexpr double minLimit = 1;
 
 }
 
-Millis TransferPacer::fastest() const
-{
-    if (m_fastest.value == 0 || m_previousFastest.value == 0) {
-        return std::max(m_fastest, m_previousFastest);
-    }
-    return std::min(m_fastest, m_previousFastest);
-}
-
 void TransferPacer::onCompleted(Millis incompleteAt, Millis completeAt, Millis now)
 {
-    const Millis took = completeAt;
     const bool isKnownWell = completeAt - incompleteAt <= std::max(completeAt * maxUncertainty, minUncertainty);
     if (completeAt < expected() * memoryLoadFraction || !isKnownWell) {
         return;
     }
-    const auto millis = static_cast<double>(took.value);
+    const auto millis = static_cast<double>(completeAt.value);
     m_average = m_average <= 0 ? millis : m_average + (millis - m_average) * newestWeight;
-    if (now - m_windowStart >= fastestWindow) {
-        m_windowStart = now;
-        m_previousFastest = m_fastest;
-        m_fastest = Millis(0);
+    if (m_fastest <= 0 || millis < m_fastest) {
+        m_fastest = millis;
+        m_fastestAt = now;
+    } else if (now - m_fastestAt >= fastestRaiseInterval) {
+        m_fastest *= fastestRaise;
+        m_fastestAt = now;
     }
-    m_fastest = m_fastest.value == 0 ? took : std::min(m_fastest, took);
-    if (took > fastest() * slowedFactor) {
+    updateLimit(millis);
+}
+
+void TransferPacer::updateLimit(double millis)
+{
+    if (millis > m_fastest * slowedFactor) {
         m_limit = std::max(m_limit - limitReduction, minLimit);
-    } else if (m_wasLimited && took <= fastest() * fullSpeedFactor) {
-        m_limit += limitGrowth / m_limit;
+        m_wasSlowed = true;
+    } else if (m_wasLimited && millis <= m_fastest * fullSpeedFactor) {
+        m_limit += m_wasSlowed ? limitGrowth / m_limit : firstGrowth;
         m_wasLimited = false;
     }
 }
@@ -78,7 +79,8 @@
     if (age < earlyCheck) {
         return earlyCheck;
     }
-    const Millis firstCheck = std::min(expected(), std::max(fastest(), earlyCheck)) * firstCheckFraction;
+    const Millis fastest = m_fastest > 0 ? Millis(static_cast<int64_t>(m_fastest)) : expected();
+    const Millis firstCheck = fastest * firstCheckFraction;
     if (age < firstCheck) {
         return firstCheck;
     }
--- a/policy/transferpacer.h
+++ b/policy/transferpacer.h
@@ -39,15 +39,14 @@
     Millis nextCheckAge(Millis age) const;
 
 private:
-    /** @return the duration of the fastest recent transfers. */
-    Millis fastest() const;
+    void updateLimit(double millis);
 
     double m_average = 0; ///< Milliseconds; 0 before the first completed load.
-    Millis m_fastest {0}; ///< In the current window; 0 if there was none.
-    Millis m_previousFastest {0}; ///< In the previous window.
-    Millis m_windowStart {0};
-    double m_limit = 4; ///< Transfers that this host may have under way.
+    double m_fastest = 0; ///< Milliseconds of the fastest recent transfer; 0 before the first one.
+    Millis m_fastestAt {0}; ///< When m_fastest was last raised.
+    double m_limit = 2; ///< Transfers that this host may have under way.
     bool m_wasLimited = false; ///< Whether a transfer had to wait since the limit was last changed.
+    bool m_wasSlowed = false; ///< Whether the limit was ever too high.
 };
 
 }
--- a/tests/serving/heartbeatexchangetest.cpp
+++ b/tests/serving/heartbeatexchangetest.cpp
@@ -212,7 +212,7 @@
     void useOnAllHosts(double tokens)
     {
         for (const auto &host : m_hosts) {
-            host->backends.onSent(ReplicaId("e1"), 10, 0);
+            host->backends.onSent(ReplicaId("e1"), 10, 0, 0);
             EXPECT_TRUE(host->quota().tryConsume(tokens, m_clock.now()));
         }
     }
--- a/tests/serving/replicaorderstest.cpp
+++ b/tests/serving/replicaorderstest.cpp
@@ -1,6 +1,9 @@
 #include "serving/replicaorders.h"
 
+#include "cluster/messages/fleet.h"
+#include "policy/transferpacer.h"
 #include "serving/adapterversions.h"
+#include "serving/residencymap.h"
 #include "tests/fakes/servingfakes.h"
 
 #include <gtest/gtest.h>
@@ -21,7 +24,7 @@
     }
     std::unique_ptr<ReplicaOrders> makeOrders()
     {
-        return std::make_unique<ReplicaOrders>(ReplicaId("r"), m_orderPort, m_log, 100, [] {});
+        return std::make_unique<ReplicaOrders>(ReplicaId("r"), m_orderPort, m_log, m_transferPacer, 100, [] {});
     }
     /** Answers the query for what the replica holds, with its base model and the given adapters. */
     void reportResidency(std::vector<EngineAdapter> adapters, int64_t count)
@@ -36,8 +39,10 @@
     }
     void step()
     {
-        m_orders->sendNextOrder(
-            {m_backend, *m_config.pools.at(PoolId("engines")).engine, m_versions, HostId("h1"), Epoch(5), true}, m_now);
+        m_orders->evaluatePendingLoads(m_residency, m_now);
+        m_orders->sendNextOrder({m_backend, *m_config.pools.at(PoolId("engines")).engine, m_versions, HostId("h1"),
+                                 Epoch(5), true, m_mayTransfer},
+                                m_now);
     }
     void request(const std::string &weights)
     {
@@ -47,12 +52,34 @@
     {
         m_now += Millis(millis);
     }
+    /** Lets the replica unload its least used adapter, so that a slot is free. */
+    void freePlace()
+    {
+        request("m/a0");
+        step();
+        ASSERT_EQ(m_orderPort.orders.size(), 1U);
+        m_orderPort.answer(OrderResult::Completed);
+        advance(600); // the request that made room isn't repeated
+    }
+    /** @return whether the next residency report says that the adapter can be used. */
+    bool isReported(const std::string &weights)
+    {
+        advance(1000);
+        const std::optional<ResidencyReport> report = m_orders->takeReport(m_backend, HostId("h1"), m_now);
+        m_now -= Millis(1000);
+        return report && std::any_of(report->adapters.begin(), report->adapters.end(), [&](const auto &adapter) {
+            return adapter.weights == weights && adapter.readyInMs == 0;
+        });
+    }
 
     ServingConfig m_config = makeConfig();
     Backend m_backend = makeBackend("r", "engines");
     AdapterVersions m_versions;
     FakeOrders m_orderPort;
     FakeLog m_log;
+    TransferPacer m_transferPacer;
+    ResidencyMap m_residency;
+    bool m_mayTransfer = true;
     Millis m_now {10000};
     std::unique_ptr<ReplicaOrders> m_orders = makeOrders();
 };
@@ -84,11 +111,48 @@
     EXPECT_EQ(m_orderPort.orders[0].order.expectedOrderCount, 8);
 }
 
-TEST_F(ReplicaOrdersTest, AfterAnOrderWithoutAnswerItAsksWhatTheReplicaHolds)
+TEST_F(ReplicaOrdersTest, AnOrderWithoutAnswerIsRepeatedWithTheSameCount)
+{
+    // Both orders expect the same count, so that at most one of them is carried out, however late it arrives.
+    advance(1000);
+    request("m/a4");
+    step();
+    const EngineOrder first = m_orderPort.orders[0].order;
+    m_orderPort.answer(OrderResult::Unknown);
+    step();
+    ASSERT_EQ(m_orderPort.orders.size(), 1U);
+    EXPECT_EQ(m_orderPort.orders[0].order.isLoad, first.isLoad);
+    EXPECT_EQ(m_orderPort.orders[0].order.weights, first.weights);
+    EXPECT_EQ(m_orderPort.orders[0].order.expectedOrderCount, first.expectedOrderCount);
+    m_orderPort.answer(OrderResult::Completed);
+    step();
+    ASSERT_EQ(m_orderPort.orders.size(), 1U);
+    EXPECT_EQ(m_orderPort.orders[0].order.expectedOrderCount, 8) << "one of the two was carried out";
+}
+
+TEST_F(ReplicaOrdersTest, ARepeatedLoadThatConflictsWasAcceptedBefore)
+{
+    advance(1000);
+    freePlace();
+    request("m/a4");
+    step();
+    m_orderPort.answer(OrderResult::Unknown);
+    step();
+    m_orderPort.answer(OrderResult::Conflict);
+    EXPECT_EQ(m_orders->adapterLoads(), 1);
+    EXPECT_FALSE(isReported("m/a4")) << "the replica hasn't confirmed the load";
+}
+
+TEST_F(ReplicaOrdersTest, AfterRepeatedOrdersWithoutAnswerItAsksWhatTheReplicaHolds)
 {
     advance(1000);
     request("m/a4");
     step();
+    for (int repeat = 0; repeat < 3; ++repeat) {
+        m_orderPort.answer(OrderResult::Unknown);
+        step();
+        ASSERT_EQ(m_orderPort.orders.size(), 1U);
+    }
     m_orderPort.answer(OrderResult::Unknown);
     step();
     EXPECT_TRUE(m_orderPort.orders.empty());
@@ -110,6 +174,106 @@
         << "an earlier order that arrives now finds a different count";
 }
 
+TEST_F(ReplicaOrdersTest, AReportOlderThanTheLastOrderIsIgnored)
+{
+    // Guards against adapters that are loaded being forgotten, and the next order expecting a count of the past.
+    advance(1000);
+    freePlace();
+    request("m/a4");
+    step();
+    m_orderPort.answer(OrderResult::Conflict);
+    advance(500);
+    reportResidency({{"m/a1", 1}, {"m/a2", 1}, {"m/a3", 1}}, 7);
+    advance(500);
+    step();
+    EXPECT_TRUE(m_orderPort.orders.empty());
+    ASSERT_EQ(m_orderPort.reports.size(), 1U) << "the replica had accepted an eighth order before";
+}
+
+TEST_F(ReplicaOrdersTest, ALoadIsCompleteWhenTheReplicaSaysSo)
+{
+    // The weight store is slow: the load takes 600 ms.
+    advance(1000);
+    freePlace();
+    request("m/a4");
+    step();
+    m_orderPort.answer(OrderResult::Accepted);
+    int checks = 0;
+    for (Millis waited(0); waited < Millis(600); waited += Millis(10)) {
+        advance(10);
+        step();
+        for (; !m_orderPort.orders.empty(); ++checks) {
+            EXPECT_EQ(m_orderPort.orders[0].order.weights, "m/a4");
+            EXPECT_EQ(m_orderPort.orders[0].order.expectedOrderCount, 9) << "a check that arrives late changes nothing";
+            m_orderPort.answer(OrderResult::Accepted);
+        }
+        EXPECT_FALSE(isReported("m/a4"));
+    }
+    EXPECT_LE(checks, 20);
+    advance(60);
+    step();
+    ASSERT_EQ(m_orderPort.orders.size(), 1U);
+    m_orderPort.answer(OrderResult::Completed);
+    EXPECT_TRUE(isReported("m/a4"));
+    EXPECT_EQ(m_orders->adapterLoads(), 0);
+    step();
+    EXPECT_TRUE(m_orderPort.orders.empty());
+}
+
+TEST_F(ReplicaOrdersTest, ALoadFromTheReplicasOwnMemoryIsSeenSoon)
+{
+    advance(1000);
+    freePlace();
+    request("m/a4");
+    step();
+    m_orderPort.answer(OrderResult::Accepted);
+    advance(40);
+    step();
+    ASSERT_EQ(m_orderPort.orders.size(), 1U);
+    m_orderPort.answer(OrderResult::Completed);
+    EXPECT_TRUE(isReported("m/a4"));
+    EXPECT_EQ(m_transferPacer.expected(), Millis(250)) << "it says nothing about the weight store";
+}
+
+TEST_F(ReplicaOrdersTest, WhileTransfersArePacedOnlyAdaptersInTheReplicasMemoryAreLoaded)
+{
+    advance(1000);
+    freePlace(); // unloads m/a1, which the replica keeps in its own memory
+    m_mayTransfer = false;
+    request("m/a4");
+    step();
+    EXPECT_TRUE(m_orderPort.orders.empty());
+    request("m/a1");
+    step();
+    ASSERT_EQ(m_orderPort.orders.size(), 1U);
+    EXPECT_EQ(m_orderPort.orders[0].order.weights, "m/a1");
+}
+
+TEST_F(ReplicaOrdersTest, AFirstCopyGoesBeforeAFurtherOne)
+{
+    // More requests wait for m/a5, but they can be served elsewhere.
+    m_residency.onResidencyReport({ReplicaId("other"), HostId("h2"), 1, 1, {{"m", 0, 0}, {"m/a5", 1, 0}}}, m_now);
+    advance(1000);
+    freePlace();
+    m_orders->onAdapterRequest({ReplicaId("r"), "m/a5", 0, 9, false}, m_now);
+    m_orders->onAdapterRequest({ReplicaId("r"), "m/a4", 0, 1, false}, m_now);
+    step();
+    ASSERT_EQ(m_orderPort.orders.size(), 1U);
+    EXPECT_EQ(m_orderPort.orders[0].order.weights, "m/a4");
+}
+
+TEST_F(ReplicaOrdersTest, ALoadThatCanStillBeInTimeGoesFirst)
+{
+    advance(1000);
+    freePlace();
+    m_orders->onAdapterRequest({ReplicaId("r"), "m/a4", 0, 0, false}, m_now); // all that wait for it are late
+    advance(100);
+    m_orders->onAdapterRequest({ReplicaId("r"), "m/a5", 0, 1, false}, m_now);
+    step();
+    ASSERT_EQ(m_orderPort.orders.size(), 1U);
+    EXPECT_EQ(m_orderPort.orders[0].order.weights, "m/a5");
+}
+
 TEST_F(ReplicaOrdersTest, NeverUnloadsAnAdapterInUse)
 {
     advance(1000);
