--- a/policy/transferpacer.cpp
+++ b/policy/transferpacer.cpp
@@ -14,7 +14,9 @@
 constexpr double earlyCheckFraction = 0.13;
 constexpr double memoryLoadFraction = 0.3;
 constexpr double firstCheckFraction = 0.9;
+constexpr double earlierCheckFactor = 0.85;
 constexpr double recheckFraction = 0.08; // of the load's age
+constexpr double firstRecheckFraction = 0.15; // before the first completed load
 constexpr Millis minRecheckInterval(10);
 // The store may have become slower for good, so the fastest time is raised a little now and then.
 constexpr Millis fastestRaiseInterval(15000);
@@ -35,7 +37,12 @@
 void TransferPacer::onCompleted(Millis incompleteAt, Millis completeAt, Millis now)
 {
     const bool isKnownWell = completeAt - incompleteAt <= std::max(completeAt * maxUncertainty, minUncertainty);
-    if (completeAt < expected() * memoryLoadFraction || !isKnownWell) {
+    const bool isFromMemory = m_average > 0 ? completeAt < expected() * memoryLoadFraction : incompleteAt.value == 0;
+    if (isFromMemory) {
+        return;
+    }
+    if (!isKnownWell) {
+        m_checkFrom *= earlierCheckFactor; // the store may have become faster
         return;
     }
     const auto millis = static_cast<double>(completeAt.value);
@@ -47,6 +54,7 @@
         m_fastest *= fastestRaise;
         m_fastestAt = now;
     }
+    m_checkFrom = m_fastest * firstCheckFraction;
     updateLimit(millis);
 }
 
@@ -79,12 +87,11 @@
     if (age < earlyCheck) {
         return earlyCheck;
     }
-    const Millis fastest = m_fastest > 0 ? Millis(static_cast<int64_t>(m_fastest)) : expected();
-    const Millis firstCheck = fastest * firstCheckFraction;
+    const auto firstCheck = Millis(static_cast<int64_t>(m_checkFrom));
     if (age < firstCheck) {
         return firstCheck;
     }
-    return age + std::max(minRecheckInterval, age * recheckFraction);
+    return age + std::max(minRecheckInterval, age * (m_average > 0 ? recheckFraction : firstRecheckFraction));
 }
 
 }
--- a/serving/dispatcher.cpp
+++ b/serving/dispatcher.cpp
@@ -159,9 +159,8 @@
         return Placement::Ended;
     }
     if (choice.loadTarget != nullptr) {
-        // A request that is late anyhow doesn't delay loads that others need to be in time.
-        const bool canBeInTime = now + usualLoadTime < active.lateAfter;
-        m_wantedLoads[{choice.loadTarget->info.id, active.request.weights}] += canBeInTime ? 1 : 0;
+        m_adapterDemand.onNeeded(choice.loadTarget->info.id, active.request.weights,
+                                 now + usualLoadTime < active.lateAfter);
     }
     if (choice.backend != nullptr) {
         send(active, *choice.backend);
@@ -191,11 +190,6 @@
         {active.deadline - now, active.team, active.priority, active.isRetryable(), active.events.lastId()});
 }
 
-Dispatcher::WaitingKey Dispatcher::waitingKeyOf(const ActiveRequest &active)
-{
-    return {active.priority, active.request.exchange};
-}
-
 void Dispatcher::sendWaiting()
 {
     const Millis now = m_context.clock.now();
@@ -368,7 +362,7 @@
     }
     if (active.outcome == AttemptOutcome::AdapterMissing) {
         m_context.residency.onNotResident(active.replica, active.request.weights);
-        m_missingAdapters.insert({active.replica, active.request.weights});
+        m_adapterDemand.onMissing(active.replica, active.request.weights);
         retryOrRefuse(active, true, RefusalCode::LoadFailed, "the adapter is not resident in the replica");
         return;
     }
@@ -495,16 +489,7 @@
 
 std::vector<AdapterRequest> Dispatcher::takeAdapterRequests()
 {
-    std::vector<AdapterRequest> requests;
-    const Millis now = m_context.clock.now();
-    for (const auto &[where, waiting] : m_wantedLoads) {
-        const bool wasMissing = m_missingAdapters.count(where) > 0;
-        requests.push_back({where.first, where.second, m_context.versions.minimumVersion(where.second, now),
-                            static_cast<uint16_t>(std::min<int64_t>(waiting, UINT16_MAX)), wasMissing});
-    }
-    m_wantedLoads.clear();
-    m_missingAdapters.clear();
-    return requests;
+    return m_adapterDemand.takeRequests(m_context.versions, m_context.clock.now());
 }
 
 }
--- a/serving/dispatcher.h
+++ b/serving/dispatcher.h
@@ -7,6 +7,7 @@
 #include "policy/retrybudget.h"
 #include "policy/waitestimate.h"
 #include "serving/activerequest.h"
+#include "serving/adapterdemand.h"
 #include "serving/attemptsender.h"
 #include "serving/servicechooser.h"
 
@@ -117,7 +118,6 @@
     std::vector<AdapterRequest> takeAdapterRequests();
 
 private:
-    using LoadTarget = std::pair<ReplicaId, std::string>; ///< A replica and the adapter to load there.
     using WaitingKey = std::pair<int, uint64_t>; ///< Priority and exchange; exchanges ascend by arrival.
     enum class Placement
     {
@@ -139,7 +139,10 @@
     void placeOrQueue(ActiveRequest &active);
     /** @return number of waiting requests of the same pool that are at least as urgent. */
     int64_t countAhead(const ActiveRequest &active) const;
-    static WaitingKey waitingKeyOf(const ActiveRequest &active);
+    static WaitingKey waitingKeyOf(const ActiveRequest &active)
+    {
+        return {active.priority, active.request.exchange};
+    }
     /**
      * Sends a request again, or refuses it if its attempts, its time or the retry budget are used up.
      *
@@ -187,8 +190,7 @@
     std::set<WaitingKey> m_waiting; ///< In sending order.
     std::map<PoolId, RetryBudget> m_budgets;
     std::map<PoolId, WaitEstimate> m_waitEstimates;
-    std::map<LoadTarget, int64_t> m_wantedLoads; ///< Number of waiting requests that need each load.
-    std::set<LoadTarget> m_missingAdapters; ///< Adapters that replicas reported as not resident.
+    AdapterDemand m_adapterDemand;
     uint64_t m_nextAttempt = 1;
     bool m_isAccepting = true;
     bool m_isAcceptingStreams = true;
--- a/serving/loadcoordinator.cpp
+++ b/serving/loadcoordinator.cpp
@@ -191,11 +191,10 @@
     std::unique_ptr<ReplicaOrders> &orders = m_orders[replica];
     if (orders == nullptr) {
         const auto firstSequence = static_cast<uint64_t>(m_context.clock.wallNow().value);
-        orders
-            = std::make_unique<ReplicaOrders>(replica, m_context.orders, m_context.log, m_transferPacer, firstSequence,
-                                              [this] {
-                                                  sendDueOrders();
-                                              });
+        orders = std::make_unique<ReplicaOrders>(replica, m_context.orders, m_context.log, m_transferPacer,
+                                                 firstSequence, [this] {
+                                                     sendDueOrders();
+                                                 });
         m_context.log.record(EventCode::ReplicaTakenOver, replica.text(),
                              "fence " + std::to_string(entry.fencingNumber));
     }
--- a/serving/replicaorders.cpp
+++ b/serving/replicaorders.cpp
@@ -7,7 +7,7 @@
 #include "serving/weights.h"
 
 #include <algorithm>
-#include <tuple>
+#include <utility>
 
 namespace vanillaspar::serving
 {
@@ -20,8 +20,6 @@
 constexpr Millis reportLag(400);
 constexpr Millis conflictDelay(120);
 constexpr Millis notSentDelay(150);
-// Hosts repeat their adapter requests every 100 ms. A pending load that isn't requested any more is dropped.
-constexpr Millis pendingLoadLifetime(500);
 constexpr int maxOrderRepeats = 3; // then the replica is asked what it holds
 // Told to other hosts beyond the expected end of a load, in case the report that it is complete is lost.
 constexpr Millis confirmationAllowance(400);
@@ -29,20 +27,11 @@
 // An adapter isn't evicted right after a load, so that the requests that waited for it can use it.
 constexpr Millis minResidency(150);
 constexpr Millis reportInterval(1000);
-constexpr size_t maxRecentlyLoaded = 64; // adapters; below the number that the known engines keep in a replica's memory
 // Added to a base model's load time before the replica's report is queried for it. Reports lag by varying times.
 constexpr Millis modelReportLag(150);
 
 }
 
-bool LoadUrgency::operator<(const LoadUrgency &other) const
-{
-    const bool isInTime = waiting > 0;
-    const bool isOtherInTime = other.waiting > 0;
-    return std::tie(isNeeded, isInTime, isFirstCopy, waiting, other.since)
-        < std::tie(other.isNeeded, isOtherInTime, other.isFirstCopy, other.waiting, since);
-}
-
 ReplicaOrders::ReplicaOrders(ReplicaId replica, OrderPort &port, EventLog &log, TransferPacer &transferPacer,
                              uint64_t firstSequence, std::function<void()> onIdle)
     : m_replica(std::move(replica))
@@ -71,15 +60,7 @@
 
 void ReplicaOrders::onAdapterRequest(const AdapterRequest &request, Millis now)
 {
-    PendingLoad &pending = m_pendingLoads[request.weights];
-    if (now - pending.requestedAt > pendingLoadLifetime) {
-        pending = {};
-        pending.since = now;
-    }
-    pending.version = std::max(pending.version, request.version);
-    pending.waiting = request.waiting;
-    pending.requestedAt = now;
-    pending.wasMissing = pending.wasMissing || request.wasMissing;
+    m_pendingLoads.onAdapterRequest(request, now);
 }
 
 void ReplicaOrders::onUseReport(const HostId &host, const AdapterUseReport &report, Millis now)
@@ -118,13 +99,8 @@
 int64_t ReplicaOrders::adapterLoads() const
 {
     return (m_isStartingTransfer ? 1 : 0) + std::count_if(m_slots.begin(), m_slots.end(), [](const auto &entry) {
-        return entry.second.isFromWeightStore && !entry.second.isReady;
-    });
-}
-
-bool ReplicaOrders::isDue(Millis now) const
-{
-    return !m_isBusy && now >= m_nextOrderAt;
+               return entry.second.isFromWeightStore && !entry.second.isReady;
+           });
 }
 
 bool ReplicaOrders::sendNextOrder(const OrderContext &context, Millis now)
@@ -197,45 +173,38 @@
 
 LoadUrgency ReplicaOrders::evaluatePendingLoads(const ResidencyMap &residency, Millis now)
 {
-    LoadUrgency highest;
-    for (auto entry = m_pendingLoads.begin(); entry != m_pendingLoads.end();) {
-        PendingLoad &pending = entry->second;
-        const auto slot = m_slots.find(entry->first);
-        const bool isHeld = slot != m_slots.end() && slot->second.version >= pending.version;
-        const bool isDisputed
-            = isHeld && pending.wasMissing && slot->second.isReady && slot->second.readyAt + minResidency < now;
-        if (now - pending.requestedAt > pendingLoadLifetime || (isHeld && !isDisputed)) {
-            entry = m_pendingLoads.erase(entry);
-            continue;
-        }
-        const auto &holders = residency.holders(entry->first);
-        pending.isFirstCopy = std::none_of(holders.begin(), holders.end(), [&](const auto &holder) {
-            return holder.first != m_replica && holder.second.version >= pending.version;
+    m_pendingLoads.dropObsolete(
+        [&](const std::string &weights, int64_t version, bool wasMissing) {
+            const auto slot = m_slots.find(weights);
+            const bool isHeld = slot != m_slots.end() && slot->second.version >= version;
+            const bool isDisputed
+                = isHeld && wasMissing && slot->second.isReady && slot->second.readyAt + minResidency < now;
+            return !isHeld || isDisputed;
+        },
+        now);
+    m_pendingLoads.updateFirstCopies([&](const std::string &weights, int64_t version) {
+        const auto &holders = residency.holders(weights);
+        return std::any_of(holders.begin(), holders.end(), [&](const auto &holder) {
+            return holder.first != m_replica && holder.second.version >= version;
         });
-        highest = std::max(highest, urgencyOf(entry->first, pending));
-        ++entry;
-    }
-    return highest;
+    });
+    const std::string *mostUrgent = m_pendingLoads.mostUrgent([this](const std::string &weights) {
+        return isLoadable(weights);
+    });
+    return mostUrgent == nullptr ? LoadUrgency() : m_pendingLoads.urgencyOf(*mostUrgent);
 }
 
-LoadUrgency ReplicaOrders::urgencyOf(const std::string &weights, const PendingLoad &pending) const
+bool ReplicaOrders::isLoadable(const std::string &weights) const
 {
-    const bool hasModel = std::find(m_models.begin(), m_models.end(), modelOf(weights)) != m_models.end();
-    return {hasModel && !adapterOf(weights).empty(), pending.isFirstCopy, pending.waiting, pending.since};
+    return !adapterOf(weights).empty()
+        && std::find(m_models.begin(), m_models.end(), modelOf(weights)) != m_models.end();
 }
 
 const std::string *ReplicaOrders::choosePendingLoad(const OrderContext &context) const
 {
-    const std::string *chosen = nullptr;
-    LoadUrgency highest;
-    for (const auto &[weights, pending] : m_pendingLoads) {
-        const LoadUrgency urgency = urgencyOf(weights, pending);
-        if ((context.mayTransfer || isRecentlyLoaded(weights)) && highest < urgency) {
-            chosen = &weights;
-            highest = urgency;
-        }
-    }
-    return chosen;
+    return m_pendingLoads.mostUrgent([&](const std::string &weights) {
+        return isLoadable(weights) && (context.mayTransfer || m_recentlyLoaded.contains(weights));
+    });
 }
 
 const std::string *ReplicaOrders::chooseEvictionCandidate(Millis now) const
@@ -243,8 +212,8 @@
     const std::string *candidate = nullptr;
     Millis leastUsed;
     for (const auto &[weights, slot] : m_slots) {
-        const bool isIdle = !slot.isUnloading && slot.isReady && slot.readyAt + minResidency <= now && runningOf(weights, now) == 0
-            && m_pendingLoads.count(weights) == 0;
+        const bool isIdle = !slot.isUnloading && slot.isReady && slot.readyAt + minResidency <= now
+            && runningOf(weights, now) == 0 && !m_pendingLoads.contains(weights);
         if (isIdle && (candidate == nullptr || slot.usedAt < leastUsed)) {
             candidate = &weights;
             leastUsed = slot.usedAt;
@@ -272,8 +241,7 @@
 
 void ReplicaOrders::repeatOrder(const OrderContext &context)
 {
-    const UnansweredOrder order = *m_unanswered;
-    m_unanswered.reset();
+    const UnansweredOrder order = *std::exchange(m_unanswered, std::nullopt);
     sendOrder(context, order.isLoad, order.weights, order.handler, order.repeats);
 }
 
@@ -301,7 +269,7 @@
 void ReplicaOrders::orderLoad(const OrderContext &context, const std::string &weights, Millis now)
 {
     const int64_t version = context.versions.newestVersion(weights);
-    m_isStartingTransfer = m_slots.count(weights) > 0 || !isRecentlyLoaded(weights);
+    m_isStartingTransfer = m_slots.count(weights) > 0 || !m_recentlyLoaded.contains(weights);
     sendOrder(context, true, weights, [this, weights, version, now](OrderResult result) {
         m_isStartingTransfer = false;
         onLoadResult(result, weights, version, now);
@@ -321,11 +289,11 @@
     slot.usedAt = now;
     slot.isReady = result == OrderResult::Completed;
     slot.readyAt = now;
-    slot.isFromWeightStore = isReplacement || !isRecentlyLoaded(weights);
+    slot.isFromWeightStore = isReplacement || !m_recentlyLoaded.contains(weights);
     slot.checkAt = now + m_transferPacer.nextCheckAge(Millis(0));
     m_slots[weights] = slot;
     m_pendingLoads.erase(weights);
-    addRecentlyLoaded(weights);
+    m_recentlyLoaded.add(weights);
     m_isReportDue = true;
     if (slot.isReady) {
         logLoaded(weights, slot);
@@ -344,14 +312,15 @@
 
 void ReplicaOrders::checkLoad(const OrderContext &context, const std::string &weights, Millis now)
 {
-    m_orderPort.sendOrder(context.backend, {true, weights, context.host, context.fencingNumber, m_acceptedOrders},
-                          bindToIncarnation<OrderResult>([this, weights, now, count = m_acceptedOrders](OrderResult result) {
-                              // Another order may have overtaken this one and raised the count.
-                              const bool wasOvertaken = m_isBusy || count != m_acceptedOrders;
-                              onLoadChecked(wasOvertaken && result == OrderResult::Conflict ? OrderResult::Unknown : result,
-                                            weights, now);
-                              m_onIdle();
-                          }));
+    m_orderPort.sendOrder(
+        context.backend, {true, weights, context.host, context.fencingNumber, m_acceptedOrders},
+        bindToIncarnation<OrderResult>([this, weights, now, count = m_acceptedOrders](OrderResult result) {
+            // Another order may have overtaken this one and raised the count.
+            const bool wasOvertaken = m_isBusy || count != m_acceptedOrders;
+            onLoadChecked(wasOvertaken && result == OrderResult::Conflict ? OrderResult::Unknown : result, weights,
+                          now);
+            m_onIdle();
+        }));
 }
 
 void ReplicaOrders::onLoadChecked(OrderResult result, const std::string &weights, Millis now)
@@ -488,7 +457,7 @@
         slot.readyAt = now;
         slot.checkAt = now;
         slots[adapter.weights] = slot;
-        addRecentlyLoaded(adapter.weights);
+        m_recentlyLoaded.add(adapter.weights);
     };
     for (const EngineAdapter &adapter : residency->adapters) {
         take(adapter, true);
@@ -528,19 +497,4 @@
     return report;
 }
 
-void ReplicaOrders::addRecentlyLoaded(const std::string &weights)
-{
-    m_recentlyLoaded.erase(std::remove(m_recentlyLoaded.begin(), m_recentlyLoaded.end(), weights),
-                           m_recentlyLoaded.end());
-    m_recentlyLoaded.push_back(weights);
-    if (m_recentlyLoaded.size() > maxRecentlyLoaded) {
-        m_recentlyLoaded.pop_front();
-    }
-}
-
-bool ReplicaOrders::isRecentlyLoaded(const std::string &weights) const
-{
-    return std::find(m_recentlyLoaded.begin(), m_recentlyLoaded.end(), weights) != m_recentlyLoaded.end();
-}
-
 }
--- a/serving/replicaorders.h
+++ b/serving/replicaorders.h
@@ -2,12 +2,13 @@
 
 #include "cluster/messages/fleet.h"
 #include "core/ids.h"
+#include "core/recentnames.h"
 #include "core/units.h"
 #include "serving/orderport.h"
+#include "serving/pendingloads.h"
 #include "serving/servingconfig.h"
 
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -39,17 +40,6 @@
     bool mayTransfer = true; ///< Whether another adapter may be transferred from the weight store now.
 };
 
-/** How urgently a replica needs its next adapter; a greater one goes first. */
-struct LoadUrgency
-{
-    bool isNeeded = false; ///< Whether any adapter is needed.
-    bool isFirstCopy = false; ///< Whether no other replica has the adapter, so that requests for it can't be served.
-    int64_t waiting = 0; ///< Most requests that any host reported as waiting for it.
-    Millis since; ///< Since when it is needed.
-
-    bool operator<(const LoadUrgency &other) const;
-};
-
 /**
  * Chooses and sends the load and unload orders of one replica. Only the replica's owner does so.
  *
@@ -93,7 +83,10 @@
      */
     LoadUrgency evaluatePendingLoads(const ResidencyMap &residency, Millis now);
     /** @return whether no order is in progress and no delay is pending, so that sendNextOrder() may send one. */
-    bool isDue(Millis now) const;
+    bool isDue(Millis now) const
+    {
+        return !m_isBusy && now >= m_nextOrderAt;
+    }
     /**
      * Sends the next order or query, if one is due.
      *
@@ -121,6 +114,9 @@
     }
 
 private:
+    /** Adapters that a replica keeps in its own memory at least. */
+    static constexpr size_t recentlyLoadedCount = 64;
+
     /** An adapter that occupies one of the replica's slots. */
     struct Slot
     {
@@ -135,16 +131,6 @@
         Millis incompleteAt {0}; ///< Age of the load when the replica last stated that it isn't complete.
         bool isChecking = false; ///< Whether the replica has been asked and didn't respond yet.
     };
-    /** An adapter that hosts have requested and that isn't resident yet. */
-    struct PendingLoad
-    {
-        int64_t version = 0;
-        int64_t waiting = 0; ///< Most requests that any host reported as waiting for it.
-        Millis since;
-        Millis requestedAt;
-        bool wasMissing = false; ///< Whether the replica answered a request that the adapter isn't resident.
-        bool isFirstCopy = false; ///< Whether no other replica has it.
-    };
     /** What one host last reported to use in the replica. */
     struct HostUsage
     {
@@ -200,15 +186,14 @@
     void forgetAcceptedOrders();
     /** @return the longest time until other hosts hear that a load is complete. */
     Millis timeToConfirmation(const Slot &slot, Millis now) const;
-    /** @return the urgency of a requested load; LoadUrgency::isNeeded is false if it can't be ordered. */
-    LoadUrgency urgencyOf(const std::string &weights, const PendingLoad &pending) const;
+    /** @return whether an adapter's base model is resident. */
+    bool isLoadable(const std::string &weights) const;
+    /** @return the load to order next, or nullptr. */
     const std::string *choosePendingLoad(const OrderContext &context) const;
     const std::string *chooseOutdated(const OrderContext &context) const;
     const std::string *chooseEvictionCandidate(Millis now) const;
     int64_t runningOf(const std::string &weights, Millis now) const;
     int64_t loadsInProgress() const;
-    void addRecentlyLoaded(const std::string &weights);
-    bool isRecentlyLoaded(const std::string &weights) const;
 
     ReplicaId m_replica;
     OrderPort &m_orderPort;
@@ -219,9 +204,9 @@
     std::optional<UnansweredOrder> m_unanswered;
     std::map<std::string, Slot> m_slots;
     std::vector<std::string> m_models; ///< Resident base models.
-    std::map<std::string, PendingLoad> m_pendingLoads;
+    PendingLoads m_pendingLoads;
     std::map<HostId, HostUsage> m_usages;
-    std::deque<std::string> m_recentlyLoaded; ///< Adapters that load from the replica's own memory; newest last.
+    RecentNames m_recentlyLoaded {recentlyLoadedCount}; ///< Adapters that load from the replica's own memory.
     /** Replaced by reset(), so that responses to earlier calls are recognized and ignored. */
     std::shared_ptr<bool> m_incarnation = std::make_shared<bool>(true);
     uint64_t m_sequence; ///< Of the last residency report.
--- a/serving/residencymap.cpp
+++ b/serving/residencymap.cpp
@@ -3,8 +3,6 @@
 #include "cluster/messages/fleet.h"
 #include "serving/backend.h"
 
-#include <algorithm>
-
 namespace vanillaspar::serving
 {
 
@@ -14,7 +12,6 @@
 // A replica's owner reports at least every second. If several reports in a row are missing, service discovery is the
 // better source.
 constexpr Millis reportLifetime(3500);
-constexpr size_t maxEvictedKept = 40; // adapters per replica; fewer than replicas keep in their own memory
 
 }
 
@@ -71,7 +68,7 @@
 {
     for (const std::string &weights : replica.weights) {
         if (held.count(weights) == 0) {
-            addEvicted(replica, weights);
+            replica.evicted.add(weights);
             const auto holders = m_holders.find(weights);
             if (holders != m_holders.end()) {
                 holders->second.erase(id);
@@ -88,21 +85,10 @@
     }
 }
 
-void ResidencyMap::addEvicted(Replica &replica, const std::string &weights)
-{
-    replica.evicted.erase(std::remove(replica.evicted.begin(), replica.evicted.end(), weights), replica.evicted.end());
-    replica.evicted.push_back(weights);
-    if (replica.evicted.size() > maxEvictedKept) {
-        replica.evicted.pop_front();
-    }
-}
-
 bool ResidencyMap::wasHeldLately(const ReplicaId &replica, const std::string &weights) const
 {
     const auto entry = m_replicas.find(replica);
-    return entry != m_replicas.end()
-        && std::find(entry->second.evicted.begin(), entry->second.evicted.end(), weights)
-        != entry->second.evicted.end();
+    return entry != m_replicas.end() && entry->second.evicted.contains(weights);
 }
 
 void ResidencyMap::onNotResident(const ReplicaId &replica, const std::string &weights)
--- a/serving/residencymap.h
+++ b/serving/residencymap.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "core/ids.h"
+#include "core/recentnames.h"
 #include "core/units.h"
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -83,6 +83,9 @@
     const std::map<ReplicaId, AdapterResidency> &holders(const std::string &weights) const;
 
 private:
+    /** Evicted adapters that a replica keeps in its own memory at least. */
+    static constexpr size_t evictedCount = 40;
+
     struct Replica
     {
         int64_t incarnation = 0; ///< Start time of the replica's incarnation.
@@ -90,12 +93,11 @@
         uint64_t reportSequence = 0;
         Millis reportedAt {-1}; ///< Arrival of the last report on this incarnation; negative if there was none.
         std::vector<std::string> weights;
-        std::deque<std::string> evicted; ///< Adapters evicted lately, the newest last.
+        RecentNames evicted {evictedCount}; ///< Adapters evicted lately.
     };
 
     /** Replaces everything that is resident in a replica. */
     void replace(const ReplicaId &id, Replica &replica, const std::map<std::string, AdapterResidency> &held);
-    static void addEvicted(Replica &replica, const std::string &weights);
 
     std::map<ReplicaId, Replica> m_replicas;
     std::unordered_map<std::string, std::map<ReplicaId, AdapterResidency>> m_holders;
--- a/tests/policy/firsteventestimatetest.cpp
+++ b/tests/policy/firsteventestimatetest.cpp
@@ -1,5 +1,5 @@
-#include "core/random.h"
 #include "policy/firsteventestimate.h"
+#include "core/random.h"
 #include "policy/replicapace.h"
 #include "policy/urgencymix.h"
 
