--- a/serving/dispatcher.cpp
+++ b/serving/dispatcher.cpp
@@ -19,10 +19,8 @@
 namespace
 {
 
-// A request whose expected wait exceeds this fraction of its objective is refused at once: the rest of the time is
-// needed to process its prompt.
-constexpr double maxWaitFraction = 0.75;
 constexpr Millis normalWait(300); // time to request an adapter and load it from the weight store
+constexpr Millis usualLoadTime(300);
 constexpr Millis resumeWait(600); // callers abandon a stream after some seconds without an event
 constexpr int maxAttempts = 4; // per request; a refused attempt is cheap, but is charged to the retry budget
 constexpr Millis retryPause(25); // before a request is sent again to a replica that refused it
@@ -114,8 +112,7 @@
     }
     const int64_t ahead = countAhead(active);
     const Millis wait = m_waitEstimates[active.pool].expectedWait(ahead);
-    const bool isTooLong
-        = m_context.clock.now() + wait > active.request.receivedAt + active.objective * maxWaitFraction;
+    const bool isTooLong = m_context.clock.now() + wait > active.waitDeadline;
     // A stream to be resumed is not refused early; it waits for up to resumeWait.
     if (isTooLong && !active.isResponding()) {
         refuse(active,
@@ -162,7 +159,8 @@
         return Placement::Ended;
     }
     if (choice.loadTarget != nullptr) {
-        m_wantedLoads[{choice.loadTarget->info.id, active.request.weights}] += 1;
+        m_adapterDemand.onNeeded(choice.loadTarget->info.id, active.request.weights,
+                                 now + usualLoadTime < active.lateAfter);
     }
     if (choice.backend != nullptr) {
         send(active, *choice.backend);
@@ -185,17 +183,13 @@
     ++active.attemptCount;
     m_exchangeByAttempt[active.attempt] = active.request.exchange;
     active.pendingPrefill = active.request.promptTokens.value;
-    m_context.backends.onSent(backend.info.id, active.tokens, active.pendingPrefill);
+    m_context.chooser.onSending(active, backend);
+    m_context.backends.onSent(backend.info.id, active.tokens, active.pendingPrefill, active.priority);
     m_context.attempts.send(
         active.attempt, backend.info, active.request,
         {active.deadline - now, active.team, active.priority, active.isRetryable(), active.events.lastId()});
 }
 
-Dispatcher::WaitingKey Dispatcher::waitingKeyOf(const ActiveRequest &active)
-{
-    return {active.priority, active.request.exchange};
-}
-
 void Dispatcher::sendWaiting()
 {
     const Millis now = m_context.clock.now();
@@ -234,6 +228,9 @@
         if (now >= active->deadline || waitsTooLong) {
             overdue.push_back(exchange);
         }
+        if (active->attempt != 0 && active->isEngine && !active->isResponding()) {
+            m_context.chooser.onWaiting(*active, now);
+        }
     }
     for (const uint64_t exchange : overdue) {
         expire(*m_active.at(exchange));
@@ -304,7 +301,10 @@
         return;
     }
     active->answeredAt = m_context.clock.now();
-    m_context.backends.onPromptProcessed(active->replica, active->pendingPrefill);
+    if (active->isEngine && isSuccess) {
+        m_context.chooser.onFirstEvent(*active, active->answeredAt);
+    }
+    m_context.backends.onPromptProcessed(active->replica, active->pendingPrefill, active->priority);
     active->pendingPrefill = 0;
     m_context.callers.startAnswer(active->request.exchange, head.head);
 }
@@ -362,13 +362,13 @@
     }
     if (active.outcome == AttemptOutcome::AdapterMissing) {
         m_context.residency.onNotResident(active.replica, active.request.weights);
-        m_missingAdapters.insert({active.replica, active.request.weights});
+        m_adapterDemand.onMissing(active.replica, active.request.weights);
         retryOrRefuse(active, true, RefusalCode::LoadFailed, "the adapter is not resident in the replica");
         return;
     }
     if (active.isEngine) {
         // Loading the adapter, or full: other replicas are preferred, and it is tried again after a pause.
-        m_context.residency.setReadyAt(active.replica, active.request.weights, now + retryPause);
+        m_context.residency.pause(active.replica, active.request.weights, now + retryPause);
     } else {
         active.excluded.insert(active.replica);
     }
@@ -458,7 +458,7 @@
 void Dispatcher::releaseReplica(ActiveRequest &active)
 {
     m_exchangeByAttempt.erase(active.attempt);
-    m_context.backends.onPromptProcessed(active.replica, active.pendingPrefill);
+    m_context.backends.onPromptProcessed(active.replica, active.pendingPrefill, active.priority);
     m_context.backends.onEnded(active.replica, active.tokens);
     active.pendingPrefill = 0;
     active.attempt = 0;
@@ -489,16 +489,7 @@
 
 std::vector<AdapterRequest> Dispatcher::takeAdapterRequests()
 {
-    std::vector<AdapterRequest> requests;
-    const Millis now = m_context.clock.now();
-    for (const auto &[where, waiting] : m_wantedLoads) {
-        const bool wasMissing = m_missingAdapters.count(where) > 0;
-        requests.push_back({where.first, where.second, m_context.versions.minimumVersion(where.second, now),
-                            static_cast<uint16_t>(std::min<int64_t>(waiting, UINT16_MAX)), wasMissing});
-    }
-    m_wantedLoads.clear();
-    m_missingAdapters.clear();
-    return requests;
+    return m_adapterDemand.takeRequests(m_context.versions, m_context.clock.now());
 }
 
 }
--- a/serving/residencymap.h
+++ b/serving/residencymap.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/ids.h"
+#include "core/recentnames.h"
 #include "core/units.h"
 
 #include <cstdint>
@@ -24,6 +25,13 @@
 {
     int64_t version = 0;
     Millis readyAt; ///< When the adapter can be used.
+    Millis pausedUntil {0}; ///< Until then no request is sent, as the replica has just refused one.
+
+    /** @return whether requests for the adapter may be sent. */
+    bool isUsable(Millis now) const
+    {
+        return readyAt <= now && pausedUntil <= now;
+    }
 };
 
 /**
@@ -48,13 +56,13 @@
     /** Removes an adapter after the replica answered that it is not resident. */
     void onNotResident(const ReplicaId &replica, const std::string &weights);
     /**
-     * Changes when a resident adapter can be used, after the replica answered that it is still loading it.
+     * Sends no request for an adapter to a replica that has just refused one, for a short time.
      *
-     * @param replica where the adapter is loaded.
+     * @param replica the replica that refused the request.
      * @param weights "model/adapter".
-     * @param until when it is expected to be usable.
+     * @param until when requests may be sent again.
      */
-    void setReadyAt(const ReplicaId &replica, const std::string &weights, Millis until);
+    void pause(const ReplicaId &replica, const std::string &weights, Millis until);
     /** Removes a replica and everything resident in it. */
     void remove(const ReplicaId &replica);
 
@@ -66,10 +74,18 @@
      * @return its residency, or nullptr if it isn't resident there.
      */
     const AdapterResidency *find(const ReplicaId &replica, const std::string &weights) const;
+    /**
+     * @return whether the adapter was evicted from the replica lately, so that the replica probably keeps a copy in its
+     *     own memory and loads it much faster than others.
+     */
+    bool wasHeldLately(const ReplicaId &replica, const std::string &weights) const;
     /** @return the replicas in which the adapter is resident or being loaded. */
     const std::map<ReplicaId, AdapterResidency> &holders(const std::string &weights) const;
 
 private:
+    /** Evicted adapters that a replica keeps in its own memory at least. */
+    static constexpr size_t evictedCount = 40;
+
     struct Replica
     {
         int64_t incarnation = 0; ///< Start time of the replica's incarnation.
@@ -77,6 +93,7 @@
         uint64_t reportSequence = 0;
         Millis reportedAt {-1}; ///< Arrival of the last report on this incarnation; negative if there was none.
         std::vector<std::string> weights;
+        RecentNames evicted {evictedCount}; ///< Adapters evicted lately.
     };
 
     /** Replaces everything that is resident in a replica. */
