--- a/serving/enginechooser.cpp
+++ b/serving/enginechooser.cpp
@@ -1,6 +1,7 @@
 #include "serving/enginechooser.h"
 
 #include "core/hash.h"
+#include "core/random.h"
 #include "serving/activerequest.h"
 #include "serving/adapterversions.h"
 #include "serving/backendtable.h"
@@ -29,12 +30,13 @@
 }
 
 EngineChooser::EngineChooser(BackendTable &backends, ResidencyMap &residency, const AdapterVersions &versions,
-                             DomainId domain, CanLoad canLoad)
+                             DomainId domain, CanLoad canLoad, Random &random)
     : m_backends(backends)
     , m_residency(residency)
     , m_versions(versions)
     , m_domain(std::move(domain))
     , m_canLoad(std::move(canLoad))
+    , m_random(random)
 {
 }
 
@@ -135,7 +137,7 @@
     const int64_t required = m_versions.minimumVersion(active.request.weights, now);
     const std::map<ReplicaId, AdapterResidency> &residences = m_residency.holders(active.request.weights);
     Holders holders {nullptr, noHolderLoad, {}};
-    double best = 0;
+    std::vector<Candidate> candidates;
     for (BackendState *state : usable) {
         const auto residence = residences.find(state->info.id);
         if (residence == residences.end()) {
@@ -154,15 +156,28 @@
         if (!hasRoom(*state, active, engine, now) || active.excluded.count(state->info.id) > 0) {
             continue;
         }
-        const double value = penalties.score(load, *state, m_domain, now);
-        if (holders.best == nullptr || value < best) {
-            holders.best = state;
-            best = value;
-        }
+        candidates.push_back({state, penalties.score(load, *state, m_domain, now)});
     }
+    holders.best = chooseCandidate(candidates);
     return holders;
 }
 
+BackendState *EngineChooser::chooseCandidate(const std::vector<Candidate> &candidates) const
+{
+    if (candidates.empty()) {
+        return nullptr;
+    }
+    const auto isBetter = [](const Candidate &a, const Candidate &b) {
+        return a.score < b.score;
+    };
+    if (candidates.size() <= 2) {
+        return std::min_element(candidates.begin(), candidates.end(), isBetter)->state;
+    }
+    const size_t first = m_random.below(candidates.size());
+    const size_t second = (first + 1 + m_random.below(candidates.size() - 1)) % candidates.size();
+    return std::min(candidates[first], candidates[second], isBetter).state;
+}
+
 BackendState *EngineChooser::chooseLoadTarget(const ActiveRequest &active, const std::vector<BackendState *> &usable,
                                               const EngineSpec &engine, bool isUrgent, Millis now) const
 {
--- a/serving/enginechooser.h
+++ b/serving/enginechooser.h
@@ -11,6 +11,11 @@
 #include <string>
 #include <vector>
 
+namespace vanillaspar
+{
+class Random;
+}
+
 namespace vanillaspar::serving
 {
 
@@ -41,9 +46,10 @@
     /**
      * @param domain failure domain of this host, whose replicas are preferred.
      * @param canLoad tells where adapters can be loaded.
+     * @param random draws the replicas to compare.
      */
     EngineChooser(BackendTable &backends, ResidencyMap &residency, const AdapterVersions &versions, DomainId domain,
-                  CanLoad canLoad);
+                  CanLoad canLoad, Random &random);
 
     /**
      * Chooses where to send a request and, if its adapter lacks capacity, where to load the adapter.
@@ -70,6 +76,20 @@
         AdapterAvailability availability;
     };
 
+    /** A replica that a request could be sent to. */
+    struct Candidate
+    {
+        BackendState *state = nullptr;
+        double score = 0; ///< Load with penalties; the lower the better.
+    };
+
+    /**
+     * Chooses the better one of two candidates drawn at random.
+     *
+     * What other hosts have sent in the last moments isn't known here. If all hosts chose the best one, they would
+     * send to the same replica until the next reports arrive.
+     */
+    BackendState *chooseCandidate(const std::vector<Candidate> &candidates) const;
     Holders evaluateHolders(const ActiveRequest &active, const std::vector<BackendState *> &usable,
                             const EngineSpec &engine, Millis now) const;
     /**
@@ -101,6 +121,7 @@
     const AdapterVersions &m_versions;
     DomainId m_domain;
     CanLoad m_canLoad;
+    Random &m_random;
     FirstEventEstimate m_firstEvents; ///< Of all engines.
     UrgencyMix m_urgencyMix;
 };
--- a/tests/fakes/dispatchfixture.h
+++ b/tests/fakes/dispatchfixture.h
@@ -59,7 +59,8 @@
     AdapterVersions m_versions;
     EngineChooser m_chooser {m_backends, m_residency, m_versions, DomainId("a"), [](const ReplicaId &) {
                                  return true;
-                             }};
+                             },
+                             m_random};
     FakeMetrics m_metrics;
     RequestLog m_requestLog {m_log, m_metrics};
     Dispatcher m_dispatcher {{m_clock, m_callers, m_attempts, m_admission, m_backends, m_residency, m_versions,
