--- a/serving/dispatcher.cpp
+++ b/serving/dispatcher.cpp
@@ -421,6 +421,9 @@
 void Dispatcher::complete(ActiveRequest &active)
 {
     m_context.backends.onSuccess(active.replica);
+    if (active.isEngine) {
+        m_context.chooser.onCompleted(active, m_context.clock.now());
+    }
     m_context.log.onServed(active, m_context.clock.now());
     const std::string rest = active.events.takeIncomplete();
     if (!rest.empty()) {
--- a/serving/enginechooser.cpp
+++ b/serving/enginechooser.cpp
@@ -25,6 +25,8 @@
 constexpr double fullLoad = 1.0;
 // Part of its objective for which a request that is late anyhow may wait for other prompts at its replica.
 constexpr double lateQueueFraction = 0.15;
+constexpr Millis reportAge(200); // average age of other hosts' reports when the next ones arrive
+constexpr double newestDurationWeight = 0.05;
 constexpr double noHolderLoad = 10.0; // exceeds the load of any replica
 
 }
@@ -103,6 +105,12 @@
     m_firstEvents.observe(active.prefillAhead, elapsed);
 }
 
+void EngineChooser::onCompleted(const ActiveRequest &active, Millis now)
+{
+    const auto duration = static_cast<double>((now - active.sentAt).value);
+    m_meanDuration += m_meanDuration > 0 ? (duration - m_meanDuration) * newestDurationWeight : duration;
+}
+
 void EngineChooser::onWaiting(const ActiveRequest &active, Millis now)
 {
     const Millis expected = m_firstEvents.expected(active.prefillAhead);
@@ -164,18 +172,27 @@
 
 BackendState *EngineChooser::chooseCandidate(const std::vector<Candidate> &candidates) const
 {
-    if (candidates.empty()) {
-        return nullptr;
+    int64_t running = 0;
+    int64_t slots = 0;
+    for (const Candidate &candidate : candidates) {
+        running += candidate.state->peers.running;
+        slots = std::max(slots, candidate.state->info.slots);
     }
-    const auto isBetter = [](const Candidate &a, const Candidate &b) {
-        return a.score < b.score;
-    };
-    if (candidates.size() <= 2) {
-        return std::min_element(candidates.begin(), candidates.end(), isBetter)->state;
+    double unseenLoad = 0;
+    if (m_meanDuration > 0 && slots > 0) {
+        const double unseen = static_cast<double>(running) * static_cast<double>(reportAge.value) / m_meanDuration;
+        unseenLoad = std::min(unseen / static_cast<double>(slots), 1.0);
+    }
+    BackendState *chosen = nullptr;
+    double best = 0;
+    for (const Candidate &candidate : candidates) {
+        const double score = candidate.score + unseenLoad * m_random.unit();
+        if (chosen == nullptr || score < best) {
+            chosen = candidate.state;
+            best = score;
+        }
     }
-    const size_t first = m_random.below(candidates.size());
-    const size_t second = (first + 1 + m_random.below(candidates.size() - 1)) % candidates.size();
-    return std::min(candidates[first], candidates[second], isBetter).state;
+    return chosen;
 }
 
 BackendState *EngineChooser::chooseLoadTarget(const ActiveRequest &active, const std::vector<BackendState *> &usable,
--- a/serving/enginechooser.h
+++ b/serving/enginechooser.h
@@ -64,6 +64,8 @@
     void onSending(ActiveRequest &active, const BackendState &backend);
     /** The first event of a request's response arrived. */
     void onFirstEvent(const ActiveRequest &active, Millis now);
+    /** A request got its complete response. */
+    void onCompleted(const ActiveRequest &active, Millis now);
     /** A request still waits for the first event of its response. */
     void onWaiting(const ActiveRequest &active, Millis now);
 
@@ -84,10 +86,11 @@
     };
 
     /**
-     * Chooses the better one of two candidates drawn at random.
+     * Chooses a candidate with a low score.
      *
-     * What other hosts have sent in the last moments isn't known here. If all hosts chose the best one, they would
-     * send to the same replica until the next reports arrive.
+     * What other hosts have sent since their last reports isn't known here. If all hosts chose the best candidate, they
+     * would all send to the same replica until the next reports arrive. So each score is raised by a random part of
+     * what that may amount to: little where few requests arrive between two reports, as seen from a replica's slots.
      */
     BackendState *chooseCandidate(const std::vector<Candidate> &candidates) const;
     Holders evaluateHolders(const ActiveRequest &active, const std::vector<BackendState *> &usable,
@@ -124,6 +127,7 @@
     Random &m_random;
     FirstEventEstimate m_firstEvents; ///< Of all engines.
     UrgencyMix m_urgencyMix;
+    double m_meanDuration = 0; ///< Milliseconds from sending a request to its complete response; 0 if none is known.
 };
 
 }
