--- a/serving/replicaorders.cpp
+++ b/serving/replicaorders.cpp
@@ -58,11 +58,6 @@
     m_nextOrderAt = Millis(0);
 }
 
-void ReplicaOrders::onAdapterRequest(const AdapterRequest &request, Millis now)
-{
-    m_pendingLoads.onAdapterRequest(request, now);
-}
-
 void ReplicaOrders::onUseReport(const HostId &host, const AdapterUseReport &report, Millis now)
 {
     HostUsage &use = m_usages[host];
--- a/serving/replicaorders.h
+++ b/serving/replicaorders.h
@@ -71,7 +71,10 @@
      */
     void reset();
     /** Records that a host needs an adapter in this replica. */
-    void onAdapterRequest(const AdapterRequest &request, Millis now);
+    void onAdapterRequest(const AdapterRequest &request, Millis now)
+    {
+        m_pendingLoads.onAdapterRequest(request, now);
+    }
     /** Records which adapters a host is using in this replica. */
     void onUseReport(const HostId &host, const AdapterUseReport &report, Millis now);
     /**
--- a/serving/servingnode.cpp
+++ b/serving/servingnode.cpp
@@ -82,11 +82,12 @@
     , m_random(seed)
     , m_admission(m_random)
     , m_members(m_settings, drawIncarnation(m_random))
-    , m_chooser(m_backends, m_residency, m_versions, m_settings.domain,
-                [this](const ReplicaId &replica) {
-                    return m_loads.canOrder(replica);
-                },
-                m_random)
+    , m_chooser(
+          m_backends, m_residency, m_versions, m_settings.domain,
+          [this](const ReplicaId &replica) {
+              return m_loads.canOrder(replica);
+          },
+          m_random)
     , m_requestLog(m_ports.log, m_ports.metrics)
     , m_dispatcher({m_ports.clock, m_ports.callers, m_ports.attempts, m_admission, m_backends, m_residency, m_versions,
                     m_chooser, m_requestLog, m_settings.domain})
--- a/tests/fakes/dispatchfixture.h
+++ b/tests/fakes/dispatchfixture.h
@@ -57,7 +57,11 @@
     BackendTable m_backends;
     ResidencyMap m_residency;
     AdapterVersions m_versions;
-    EngineChooser m_chooser {m_backends, m_residency, m_versions, DomainId("a"), [](const ReplicaId &) {
+    EngineChooser m_chooser {m_backends,
+                             m_residency,
+                             m_versions,
+                             DomainId("a"),
+                             [](const ReplicaId &) {
                                  return true;
                              },
                              m_random};
--- a/tests/policy/fleetquotatest.cpp
+++ b/tests/policy/fleetquotatest.cpp
@@ -309,6 +309,58 @@
     EXPECT_LE(quota.level(Millis(2000)), 1000);
 }
 
+TEST(FleetQuota, ACopyThatStartedTooLowCatchesUpWhileTheTeamIsOverItsRate)
+{
+    // Five hosts admit all that the bucket gives; the sixth one's copy starts 300 tokens too low. All copies change by
+    // the same amounts, so the sixth host would refuse everything for as long as the team is over its rate.
+    constexpr double rate = 1000;
+    FleetQuota late;
+    late.configure(rate, rate, Millis(0));
+    late.setHosts(6, 0, Millis(0), Millis(0));
+    late.adoptInitialLevel(-300, Millis(10));
+    int64_t admitted = 0;
+    for (Millis now(100); now <= Millis(3000); now += Millis(100)) {
+        admitted += 100; // what is refilled in this time
+        late.onReport(HostId("others"), "1", admitted, now);
+        for (const char *host : {"h1", "h2", "h3", "h4", "h5"}) {
+            late.onPeerLevel(HostId(host), 50, now);
+        }
+    }
+    EXPECT_GT(late.level(Millis(3000)), 0);
+}
+
+TEST(FleetQuota, ACopyThatStartedTooHighComesDown)
+{
+    FleetQuota quota;
+    quota.configure(1000, 1000, Millis(0));
+    quota.setHosts(6, 0, Millis(0), Millis(0));
+    quota.adoptInitialLevel(900, Millis(10));
+    int64_t admitted = 0;
+    for (Millis now(100); now <= Millis(3000); now += Millis(100)) {
+        admitted += 100;
+        quota.onReport(HostId("others"), "1", admitted, now);
+        for (const char *host : {"h1", "h2", "h3", "h4", "h5"}) {
+            quota.onPeerLevel(HostId(host), 50, now);
+        }
+    }
+    EXPECT_LT(quota.level(Millis(3000)), 150);
+}
+
+TEST(FleetQuota, OneWrongPeerDoesNotMoveACopyFar)
+{
+    FleetQuota quota;
+    quota.configure(0.001, 1000, Millis(0));
+    quota.setHosts(6, 0, Millis(0), Millis(0));
+    quota.adoptInitialLevel(100, Millis(10));
+    for (Millis now(100); now <= Millis(3000); now += Millis(100)) {
+        quota.onPeerLevel(HostId("wrong"), 1000, now);
+        for (const char *host : {"h1", "h2", "h3"}) {
+            quota.onPeerLevel(HostId(host), 100, now);
+        }
+    }
+    EXPECT_NEAR(quota.level(Millis(3000)), 100, 5);
+}
+
 }
 
 }
--- a/tests/serving/enginechoosertest.cpp
+++ b/tests/serving/enginechoosertest.cpp
@@ -1,4 +1,6 @@
 #include "cluster/messages/fleet.h"
+#include "core/random.h"
+#include "serving/activerequest.h"
 #include "serving/dispatcher.h"
 #include "tests/fakes/dispatchfixture.h"
 
@@ -160,6 +162,66 @@
     EXPECT_LE(m_late, (m_late + m_inTime) * 0.1);
 }
 
+/** @return the most requests that one of eight replicas gets from hosts that all have the same reports. */
+int mostFromHostsWithEqualReports(int hosts, int64_t runningOnEach, Millis duration)
+{
+    std::map<ReplicaId, int> chosen;
+    for (int host = 0; host < hosts; ++host) {
+        Random random(static_cast<uint64_t>(host) + 1);
+        BackendTable backends;
+        ResidencyMap residency;
+        AdapterVersions versions;
+        EngineChooser chooser(
+            backends, residency, versions, DomainId("a"),
+            [](const ReplicaId &) {
+                return true;
+            },
+            random);
+        std::vector<ReplicaUse> uses;
+        for (int replica = 0; replica < 8; ++replica) {
+            Backend backend = makeBackend("e" + std::to_string(replica), "engines", {{"m/a1", 1}});
+            backend.slots = 16;
+            residency.onDiscovered(backend, Millis(1000));
+            backends.upsert(backend, Millis(1000));
+            const int64_t running = runningOnEach - (replica == 3 ? 1 : 0); // one has a little less to do
+            uses.push_back({backends.find(backend.id)->shortId, static_cast<uint16_t>(running), 0, 0});
+        }
+        backends.setPeerUse(HostId("others"), uses);
+        ActiveRequest active;
+        active.request = makeRequest(1, "/s/x", "m/a1", Millis(1000));
+        active.pool = PoolId("engines");
+        active.isEngine = true;
+        active.objective = Millis(800);
+        active.lateAfter = Millis(1800);
+        active.sentAt = Millis(1000) - duration;
+        chooser.onCompleted(active, Millis(1000));
+        EngineSpec engine;
+        engine.slots = 16;
+        const ReplicaChoice choice = chooser.choose(active, engine, Millis(1000));
+        if (choice.backend != nullptr) {
+            ++chosen[choice.backend->info.id];
+        }
+    }
+    int most = 0;
+    for (const auto &[replica, count] : chosen) {
+        most = std::max(most, count);
+    }
+    return most;
+}
+
+TEST(EngineChooser, ManyHostsWithEqualReportsDontChooseTheSameReplica)
+{
+    // About 63 requests run for half a second each, so that 25 arrive between two reports, here one at each of 25 hosts.
+    // Seven were running on the best replica, which has 16 slots.
+    EXPECT_LE(mostFromHostsWithEqualReports(25, 8, Millis(500)), 9);
+}
+
+TEST(EngineChooser, TheLeastLoadedReplicaIsChosenWhereFewRequestsArrive)
+{
+    // Requests run for long, so that hardly any arrive between two reports.
+    EXPECT_GE(mostFromHostsWithEqualReports(10, 2, Millis(60000)), 8);
+}
+
 TEST_F(EngineChooserTest, AnAdapterGoesBackToTheReplicaThatHeldItLately)
 {
     send("m/a9");
