--- a/serving/backendtable.h
+++ b/serving/backendtable.h
@@ -84,6 +84,15 @@
 
     /** Replaces the use that a host last reported. */
     void setPeerUse(const HostId &host, const std::vector<ReplicaUse> &uses);
+    /** Sets how old the reports of the other hosts are on average. */
+    void setReportAge(Millis age)
+    {
+        m_reportAge = age;
+    }
+    Millis reportAge() const
+    {
+        return m_reportAge;
+    }
     /** @return this host's use plus that of the given hosts, for a hub that aggregates the reports of its leaf hosts.
      */
     std::vector<ReplicaUse> ownUseIncluding(const std::set<HostId> &hosts) const;
@@ -136,6 +145,7 @@
     std::map<ReplicaId, std::unique_ptr<BackendState>> m_backends;
     std::unordered_map<uint32_t, BackendState *> m_byShortId;
     std::map<HostId, std::vector<ReplicaUse>> m_peerUses;
+    Millis m_reportAge {0};
     Loads m_peerLoads; ///< Sums of m_peerUses, also of servers that aren't known yet.
 };
 
--- a/serving/enginechooser.cpp
+++ b/serving/enginechooser.cpp
@@ -25,7 +25,6 @@
 constexpr double fullLoad = 1.0;
 // Part of its objective for which a request that is late anyhow may wait for other prompts at its replica.
 constexpr double lateQueueFraction = 0.15;
-constexpr Millis reportAge(200); // average age of other hosts' reports when the next ones arrive
 constexpr double newestDurationWeight = 0.05;
 constexpr double noHolderLoad = 10.0; // exceeds the load of any replica
 
@@ -180,7 +179,8 @@
     }
     double unseenLoad = 0;
     if (m_meanDuration > 0 && slots > 0) {
-        const double unseen = static_cast<double>(running) * static_cast<double>(reportAge.value) / m_meanDuration;
+        const double unseen
+            = static_cast<double>(running) * static_cast<double>(m_backends.reportAge().value) / m_meanDuration;
         unseenLoad = std::min(unseen / static_cast<double>(slots), 1.0);
     }
     BackendState *chosen = nullptr;
--- a/serving/heartbeatexchange.cpp
+++ b/serving/heartbeatexchange.cpp
@@ -28,6 +28,7 @@
 constexpr Millis relaySilenceLimit(450);
 // Average delay of a leaf host's report: 100 ms to its hub, 50 ms to another hub and 100 ms to that hub's leaf hosts.
 constexpr Millis relayLag(300);
+constexpr Millis directLag(50); // half of the interval between two heartbeats of a hub
 // A hub sends to other hubs every 100 ms; one or two lost heartbeats are tolerated.
 constexpr Millis hubSilenceLimit(300);
 
@@ -237,6 +238,7 @@
     const bool hasLeafHosts = members.hubs().size() < static_cast<size_t>(members.hostCount() - silent);
     const Millis lag = hasLeafHosts ? relayLag : Millis(0);
     const bool usesRelay = !m_relay.isEmpty();
+    m_context.backends.setReportAge(usesRelay ? relayLag : directLag);
     // A host that learns of all others through one hub knows nothing about them while that hub is silent.
     const bool isRelaySilent = usesRelay && now - m_relayHeardAt > relaySilenceLimit;
     if (members.isListed()) {
--- a/tests/serving/enginechoosertest.cpp
+++ b/tests/serving/enginechoosertest.cpp
@@ -169,6 +169,7 @@
     for (int host = 0; host < hosts; ++host) {
         Random random(static_cast<uint64_t>(host) + 1);
         BackendTable backends;
+        backends.setReportAge(Millis(200));
         ResidencyMap residency;
         AdapterVersions versions;
         EngineChooser chooser(
@@ -211,8 +212,8 @@
 
 TEST(EngineChooser, ManyHostsWithEqualReportsDontChooseTheSameReplica)
 {
-    // About 63 requests run for half a second each, so that 25 arrive between two reports, here one at each of 25 hosts.
-    // Seven were running on the best replica, which has 16 slots.
+    // About 63 requests run for half a second each, so that 25 arrive between two reports, here one at each of 25
+    // hosts. Seven were running on the best replica, which has 16 slots.
     EXPECT_LE(mostFromHostsWithEqualReports(25, 8, Millis(500)), 9);
 }
 
