--- a/tests/serving/servingnodetest.cpp
+++ b/tests/serving/servingnodetest.cpp
@@ -359,6 +359,36 @@
     EXPECT_EQ(m_orders.orders.size(), 1U);
 }
 
+TEST_F(ServingNodeTest, ASilentHostsShareIsFreeOnceItCantAdmitAnything)
+{
+    // h2 is never heard. Without the store it can admit requests for as long as the revocation limit.
+    load();
+    advance(100, true);
+    m_node->onPeerMessage(HostId("h2"), makeHeartbeat(1, 10, 0));
+    const auto isRemoved = [this] {
+        const auto written = m_written.find("host.h2"); // a removal writes null
+        return written != m_written.end() && written->second.is_null();
+    };
+    advance(m_settings.revokeLimit.value, true);
+    EXPECT_FALSE(isRemoved());
+    advance(2500, true);
+    EXPECT_TRUE(isRemoved());
+}
+
+TEST_F(ServingNodeTest, AnUnansweredOrderIsNotRepeatedAfterTheLease)
+{
+    load();
+    advance(100, true);
+    makeOwner(false);
+    advance(200, true);
+    m_orders.answerReport(m_decoder.backends[0].residency);
+    m_node->onPeerMessage(HostId("h2"), AdapterRequest {ReplicaId("e1"), "m/a7", 0, 1, false});
+    ASSERT_EQ(m_orders.orders.size(), 1U);
+    m_clock.setNow(m_clock.now() + Millis(8000)); // the host was suspended while it waited for the answer
+    m_orders.answer(OrderResult::Unknown);
+    EXPECT_TRUE(m_orders.orders.empty()) << "another host may own the replica meanwhile";
+}
+
 TEST_F(ServingNodeTest, AReplicaGetsNoWorkFromWhenAnotherHostSaysThatItLeaves)
 {
     load();
