--- a/cluster/messages/fleet.h
+++ b/cluster/messages/fleet.h
@@ -162,7 +162,7 @@
     ReplicaId replica;
     std::string weights;
     int64_t version = 0; ///< The oldest version that is acceptable; 0 for any.
-    uint16_t waiting = 0; ///< Number of requests at the sender that wait for it.
+    uint16_t waiting = 0; ///< Number of requests at the sender that wait for it and can still be answered in time.
     bool wasMissing = false; ///< Whether the replica answered that the adapter isn't resident.
 
     template<class Archive>
--- a/serving/dispatcher.cpp
+++ b/serving/dispatcher.cpp
@@ -20,7 +20,6 @@
 {
 
 constexpr Millis normalWait(300); // time to request an adapter and load it from the weight store
-constexpr Millis usualLoadTime(300);
 constexpr Millis resumeWait(600); // callers abandon a stream after some seconds without an event
 constexpr int maxAttempts = 4; // per request; a refused attempt is cheap, but is charged to the retry budget
 constexpr Millis retryPause(25); // before a request is sent again to a replica that refused it
@@ -160,7 +159,7 @@
     }
     if (choice.loadTarget != nullptr) {
         m_adapterDemand.onNeeded(choice.loadTarget->info.id, active.request.weights,
-                                 now + usualLoadTime < active.lateAfter);
+                                 now + normalWait < active.lateAfter);
     }
     if (choice.backend != nullptr) {
         send(active, *choice.backend);
--- a/serving/enginechooser.h
+++ b/serving/enginechooser.h
@@ -46,7 +46,7 @@
     /**
      * @param domain failure domain of this host, whose replicas are preferred.
      * @param canLoad tells where adapters can be loaded.
-     * @param random draws the replicas to compare.
+     * @param random varies the choice among replicas with about equal load.
      */
     EngineChooser(BackendTable &backends, ResidencyMap &residency, const AdapterVersions &versions, DomainId domain,
                   CanLoad canLoad, Random &random);
@@ -125,7 +125,7 @@
     DomainId m_domain;
     CanLoad m_canLoad;
     Random &m_random;
-    FirstEventEstimate m_firstEvents; ///< Of all engines.
+    FirstEventEstimate m_firstEvents; ///< Of all engines that this host has sent requests to.
     UrgencyMix m_urgencyMix;
     double m_meanDuration = 0; ///< Milliseconds from sending a request to its complete response; 0 if none is known.
 };
