Don't take a load from a replica's memory for the speed of the weight store

Ruled out: the store (251 ms a transfer), quotas. Loads that the replica had in its memory don't count any more, nor does a single much shorter one. Test that failed before: TransferPacer.ALoadFromMemoryThatTookLongDoesNotSlowTheStoresTransfers.

--- a/policy/transferpacer.cpp
+++ b/policy/transferpacer.cpp
@@ -14,6 +14,8 @@
 constexpr double earlyCheckFraction = 0.13;
 constexpr double memoryLoadFraction = 0.3;
 constexpr double firstCheckFraction = 0.9;
+constexpr double shortFraction = 0.6; // of the fastest time
+constexpr int minShortInRow = 8;
 constexpr double earlierCheckFactor = 0.85;
 constexpr double recheckFraction = 0.08; // of the load's age
 constexpr double firstRecheckFraction = 0.15; // before the first completed load
@@ -46,6 +48,11 @@
         return;
     }
     const auto millis = static_cast<double>(completeAt.value);
+    // One much shorter load probably came from the replica's own memory. Several in a row tell of a faster store.
+    m_shortInRow = millis < m_fastest * shortFraction ? m_shortInRow + 1 : 0;
+    if (m_shortInRow > 0 && m_shortInRow < minShortInRow) {
+        return;
+    }
     m_average = m_average <= 0 ? millis : m_average + (millis - m_average) * newestWeight;
     if (m_fastest <= 0 || millis < m_fastest) {
         m_fastest = millis;
--- a/policy/transferpacer.h
+++ b/policy/transferpacer.h
@@ -44,6 +44,7 @@
     double m_average = 0; ///< Milliseconds; 0 before the first completed load.
     double m_fastest = 0; ///< Milliseconds of the fastest recent transfer; 0 before the first one.
     Millis m_fastestAt {0}; ///< When m_fastest was last set.
+    int m_shortInRow = 0; ///< Loads in a row that took much less than the fastest time.
     double m_checkFrom = 0; ///< Age in milliseconds from which a load is checked often; 0 for from the early check.
     double m_limit = 2; ///< Transfers that this host may have under way.
     bool m_wasLimited = false; ///< Whether a transfer had to wait since the limit was last changed.
--- a/serving/replicaorders.cpp
+++ b/serving/replicaorders.cpp
@@ -284,7 +284,8 @@
     slot.usedAt = now;
     slot.isReady = result == OrderResult::Completed;
     slot.readyAt = now;
-    slot.isFromWeightStore = isReplacement || !m_recentlyLoaded.contains(weights);
+    slot.wasInMemory = !isReplacement && m_recentlyLoaded.contains(weights);
+    slot.isFromWeightStore = !slot.wasInMemory;
     slot.checkAt = now + m_transferPacer.nextCheckAge(Millis(0));
     m_slots[weights] = slot;
     m_pendingLoads.erase(weights);
@@ -335,7 +336,9 @@
         slot.readyAt = now;
         slot.usedAt = now;
         m_isReportDue = true;
-        m_transferPacer.onCompleted(slot.incompleteAt, age, now);
+        if (!slot.wasInMemory) {
+            m_transferPacer.onCompleted(slot.incompleteAt, age, now);
+        }
         logLoaded(weights, slot);
         return;
     }
--- a/serving/replicaorders.h
+++ b/serving/replicaorders.h
@@ -128,6 +128,7 @@
         Millis usedAt; ///< Arrival of the last report that it is in use.
         bool isReady = false; ///< Whether the replica confirmed that the load is complete.
         bool isFromWeightStore = false;
+        bool wasInMemory = false; ///< Whether the replica probably had a copy in its own memory when it was ordered.
         bool isUnloading = false; ///< An unload is ordered; the replica still finishes the requests that use it.
         Millis readyAt {0}; ///< When isReady became true.
         Millis checkAt {0}; ///< When to ask the replica whether the load is complete.
--- a/tests/policy/transferpacertest.cpp
+++ b/tests/policy/transferpacertest.cpp
@@ -144,6 +144,20 @@
     EXPECT_LE(pacer.expected(), Millis(130));
 }
 
+TEST(TransferPacer, ALoadFromMemoryThatTookLongDoesNotSlowTheStoresTransfers)
+{
+    // Guards against a single short load that made all others look slow, so that one transfer at a time was left.
+    TransferPacer pacer;
+    for (int load = 0; load < 20; ++load) {
+        pacer.onCompleted(Millis(240), Millis(250), Millis(1000 + load * 100));
+    }
+    pacer.onCompleted(Millis(78), Millis(88), Millis(4000));
+    for (int load = 0; load < 20; ++load) {
+        pacer.onCompleted(Millis(240), Millis(250), Millis(5000 + load * 100));
+    }
+    EXPECT_TRUE(pacer.mayStart(1));
+}
+
 TEST(TransferPacer, OneTransferIsAlwaysAllowed)
 {
     TransferPacer pacer;
