--- a/policy/firsteventestimate.h
+++ b/policy/firsteventestimate.h
@@ -26,7 +26,7 @@
     Millis expected(double tokens) const;
 
 private:
-    // Weighted sums over the observations; they start with two guesses of little weight.
+    // Weighted sums over the observations. They start with two prompts of typical length, whose weight fades.
     double m_weight = 2;
     double m_tokens = 4000;
     double m_elapsed = 270;
--- a/policy/transferpacer.cpp
+++ b/policy/transferpacer.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-constexpr Millis initialGuess(250);
+constexpr Millis initialDuration(250);
 constexpr double newestWeight = 0.15;
 // Of the expected time. A load from the replica's own memory is complete at the early check.
 constexpr double earlyCheckFraction = 0.13;
@@ -85,7 +85,7 @@
 
 Millis TransferPacer::expected() const
 {
-    return m_average <= 0 ? initialGuess : Millis(static_cast<int64_t>(m_average));
+    return m_average <= 0 ? initialDuration : Millis(static_cast<int64_t>(m_average));
 }
 
 Millis TransferPacer::nextCheckAge(Millis age) const
--- a/policy/transferpacer.h
+++ b/policy/transferpacer.h
@@ -33,7 +33,7 @@
      * @param underWay transfers that this host has started and that aren't complete.
      */
     bool mayStart(int64_t underWay);
-    /** @return the recent average duration; a guess before the first completed load. */
+    /** @return the recent average duration; an initial value before the first completed load. */
     Millis expected() const;
     /** @return how old an incomplete load should be when the replica is asked again, given its age now. */
     Millis nextCheckAge(Millis age) const;
--- a/tests/policy/transferpacertest.cpp
+++ b/tests/policy/transferpacertest.cpp
@@ -25,7 +25,7 @@
     double worstMillis = 0;
 };
 
-/** Hosts that always have another adapter to transfer; the first seconds aren't measured. */
+/** Plays hosts that always have another adapter to transfer, and evaluates the transfers after a warm-up. */
 Played play(const Store &store, int hostCount, bool isPaced)
 {
     struct Transfer
@@ -37,7 +37,7 @@
         Millis checkAt {0};
     };
     constexpr Millis step(5);
-    constexpr Millis measuredFrom(6000);
+    constexpr Millis warmUpEnd(6000);
     constexpr Millis end(20000);
     constexpr int unpacedPerHost = 12; // three replicas with four loads each
     std::vector<TransferPacer> pacers(static_cast<size_t>(hostCount));
@@ -65,7 +65,7 @@
                 continue;
             }
             pacer.onCompleted(transfer->incompleteAt, age, now);
-            if (now >= measuredFrom) {
+            if (now >= warmUpEnd) {
                 completed += 1;
                 played.meanMillis += static_cast<double>(age.value);
                 played.worstMillis = std::max(played.worstMillis, static_cast<double>(age.value));
@@ -84,7 +84,7 @@
         }
     }
     played.meanMillis /= completed;
-    played.perSecond = completed / toSeconds(end - measuredFrom);
+    played.perSecond = completed / toSeconds(end - warmUpEnd);
     return played;
 }
 
