Log every request that is sent to a replica once more, with its retry budget

Cause: the logs told when a retry was decided, not when it was sent, nor what the budget had counted, and HttpUpstream repeated requests on a new connection without anybody being told.

The budgets of all pools move to a class of their own. What is sent, retried and refused is unchanged.

--- a/core/eventcode.cpp
+++ b/core/eventcode.cpp
@@ -45,6 +45,7 @@
         {EventCode::RequestServed, Severity::Info, "request-served"},
         {EventCode::RequestFailed, Severity::Warning, "request-failed"},
         {EventCode::CallerLeft, Severity::Info, "caller-left"},
+        {EventCode::RequestResent, Severity::Info, "request-resent"},
         {EventCode::MessageRejected, Severity::Warning, "message-rejected"},
         {EventCode::LinesDropped, Severity::Warning, "lines-dropped"},
     };
--- a/core/eventcode.h
+++ b/core/eventcode.h
@@ -46,6 +46,7 @@
     RequestServed = 504,
     RequestFailed = 505,
     CallerLeft = 506,
+    RequestResent = 507,
     MessageRejected = 600,
     LinesDropped = 601,
 };
--- a/net/httpupstream.cpp
+++ b/net/httpupstream.cpp
@@ -281,6 +281,9 @@
         const uint64_t exchange = connection.exchange;
         const std::string pool = connection.pool;
         m_connections.erase(entry);
+        if (handlers.onResent) {
+            handlers.onResent();
+        }
         open(pool, std::move(request), std::move(handlers), exchange);
         return;
     }
--- a/net/httpupstream.h
+++ b/net/httpupstream.h
@@ -50,6 +50,7 @@
     std::function<void(HttpHead &)> onHead;
     std::function<void(std::string_view)> onBody;
     std::function<void(UpstreamEnd)> onEnd; ///< Called once, last.
+    std::function<void()> onResent; ///< The kept connection ended unused; the request is sent on a new one.
 };
 
 /** A whole answer of a server. */
--- a/policy/retrybudget.cpp
+++ b/policy/retrybudget.cpp
@@ -17,9 +17,14 @@
     m_window = window;
 }
 
+Millis RetryBudget::intervalLength() const
+{
+    return m_window / intervalsPerWindow;
+}
+
 RetryBudget::Interval &RetryBudget::current(Millis now)
 {
-    const Millis length = m_window / intervalsPerWindow;
+    const Millis length = intervalLength();
     while (!m_intervals.empty() && now - m_intervals.front().start > m_window + length) {
         m_intervals.pop_front();
     }
@@ -34,16 +39,25 @@
     ++current(now).requests;
 }
 
-bool RetryBudget::tryConsumeRetry(Millis now)
+RetryBudgetState RetryBudget::state(Millis now) const
 {
-    Interval &interval = current(now);
-    int64_t requests = 0;
-    int64_t retries = 0;
+    RetryBudgetState state;
     for (const Interval &counted : m_intervals) {
-        requests += counted.requests;
-        retries += counted.retries;
+        if (now - counted.start <= m_window + intervalLength()) {
+            state.requests += counted.requests;
+            state.retries += counted.retries;
+        }
     }
-    if (static_cast<double>(retries + 1) > m_ratio * static_cast<double>(requests) + m_allowance) {
+    state.limit = m_ratio * static_cast<double>(state.requests) + m_allowance;
+    state.allowance = m_allowance;
+    return state;
+}
+
+bool RetryBudget::tryConsumeRetry(Millis now)
+{
+    Interval &interval = current(now);
+    const RetryBudgetState counted = state(now);
+    if (static_cast<double>(counted.retries + 1) > counted.limit) {
         return false;
     }
     ++interval.retries;
--- a/policy/retrybudget.h
+++ b/policy/retrybudget.h
@@ -8,6 +8,15 @@
 namespace vanillaspar
 {
 
+/** What a retry budget has counted in the current window, for logs. */
+struct RetryBudgetState
+{
+    int64_t requests = 0;
+    int64_t retries = 0;
+    double limit = 0; ///< Retries that the window allows.
+    double allowance = 0; ///< This host's part of the fixed allowance, included in the limit.
+};
+
 /**
  * Limits the retries that this host sends to a pool in any window.
  *
@@ -29,6 +38,8 @@
     void onRequest(Millis now);
     /** Counts a retry if the budget allows it. @return whether the retry may be sent. */
     bool tryConsumeRetry(Millis now);
+    /** @return what was counted in the window that ends now. */
+    RetryBudgetState state(Millis now) const;
 
 private:
     struct Interval
@@ -38,6 +49,7 @@
         int64_t retries = 0;
     };
 
+    Millis intervalLength() const;
     Interval &current(Millis now);
 
     double m_ratio = 0;
--- a/serving/activerequest.h
+++ b/serving/activerequest.h
@@ -59,6 +59,8 @@
     EventCutter events; ///< Splits a resumable stream into whole events.
     AttemptOutcome outcome = AttemptOutcome::None;
     int attemptCount = 0; ///< Attempts sent so far.
+    std::string resendCause; ///< Why the last attempt failed, for the log.
+    bool isResendCharged = false; ///< Whether the retry budget was charged for the next or current attempt.
     std::set<ReplicaId> mayHaveRunOn; ///< Replicas that may have executed it.
     std::set<ReplicaId> excluded; ///< Replicas that could not be reached or refused it.
     Millis notBefore {0}; ///< The next attempt is not sent before.
--- a/serving/dispatcher.cpp
+++ b/serving/dispatcher.cpp
@@ -50,23 +50,7 @@
 
 void Dispatcher::setRetryLimits(double ratio, double allowance, Millis window)
 {
-    m_retryRatio = ratio;
-    m_retryAllowance = allowance;
-    m_retryWindow = window;
-    for (auto &[pool, budget] : m_budgets) {
-        budget.configure(ratio, allowance, window);
-    }
-}
-
-RetryBudget &Dispatcher::budgetOf(const PoolId &pool)
-{
-    const auto entry = m_budgets.find(pool);
-    if (entry != m_budgets.end()) {
-        return entry->second;
-    }
-    RetryBudget &budget = m_budgets[pool];
-    budget.configure(m_retryRatio, m_retryAllowance, m_retryWindow);
-    return budget;
+    m_retryBudgets.configure(ratio, allowance, window);
 }
 
 void Dispatcher::onRequest(ClientRequest request)
@@ -94,7 +78,7 @@
     std::unique_ptr<ActiveRequest> owned = makeActiveRequest(std::move(request), admitted);
     ActiveRequest &active = *owned;
     m_active.emplace(active.request.exchange, std::move(owned));
-    budgetOf(active.pool).onRequest(now);
+    m_retryBudgets.of(active.pool).onRequest(now);
     placeOrQueue(active);
 }
 
@@ -182,6 +166,9 @@
     ++active.attemptCount;
     m_exchangeByAttempt[active.attempt] = active.request.exchange;
     active.pendingPrefill = active.request.promptTokens.value;
+    if (active.attemptCount > 1) {
+        m_context.log.onResent(active, m_retryBudgets.of(active.pool).state(now), now);
+    }
     m_context.chooser.onSending(active, backend);
     m_context.backends.onSent(backend.info.id, active.tokens, active.pendingPrefill, active.priority);
     m_context.attempts.send(
@@ -350,6 +337,18 @@
     sendWaiting();
 }
 
+void Dispatcher::onAttemptResent(uint64_t attempt)
+{
+    ActiveRequest *active = findByAttempt(attempt);
+    if (active == nullptr) {
+        return;
+    }
+    const Millis now = m_context.clock.now();
+    active->resendCause = "the kept connection ended without a response";
+    active->isResendCharged = false;
+    m_context.log.onResent(*active, m_retryBudgets.of(active->pool).state(now), now);
+}
+
 void Dispatcher::onNotExecuted(ActiveRequest &active)
 {
     const Millis now = m_context.clock.now();
@@ -408,11 +407,13 @@
 void Dispatcher::retryOrRefuse(ActiveRequest &active, bool countsAsRetry, RefusalCode code, const std::string &why)
 {
     const Millis now = m_context.clock.now();
-    const bool hasBudget = !countsAsRetry || budgetOf(active.pool).tryConsumeRetry(now);
+    const bool hasBudget = !countsAsRetry || m_retryBudgets.of(active.pool).tryConsumeRetry(now);
     if (!hasBudget || active.attemptCount >= maxAttempts || now >= active.deadline) {
         refuse(active, {code, RunState::NotRun, overloadRetry, why + (hasBudget ? "" : "; no retry budget left")});
         return;
     }
+    active.resendCause = why;
+    active.isResendCharged = countsAsRetry;
     m_context.log.onRetried(active, why, now);
     placeOrQueue(active);
 }
--- a/serving/dispatcher.h
+++ b/serving/dispatcher.h
@@ -4,7 +4,7 @@
 #include "core/refusal.h"
 #include "core/units.h"
 #include "net/httpupstream.h"
-#include "policy/retrybudget.h"
+#include "policy/poolretrybudgets.h"
 #include "policy/waitestimate.h"
 #include "serving/activerequest.h"
 #include "serving/adapterdemand.h"
@@ -97,6 +97,8 @@
     void onAttemptBody(uint64_t attempt, std::string_view data);
     /** An attempt ended. @param how whether the response is complete or what went wrong. */
     void onAttemptEnd(uint64_t attempt, UpstreamEnd how);
+    /** An attempt was sent a second time to its replica, because the connection had ended without a response. */
+    void onAttemptResent(uint64_t attempt);
     /** Sends waiting requests, refuses those that waited too long and ends those past their deadline. */
     void tick();
     /** Sends the waiting requests that a replica has capacity for. To be called after capacity may have changed. */
@@ -181,22 +183,18 @@
     /** Cancels the attempt, if any, and deletes the request. */
     void erase(ActiveRequest &active);
     ActiveRequest *findByAttempt(uint64_t attempt);
-    RetryBudget &budgetOf(const PoolId &pool);
 
     DispatchContext m_context;
     ServiceChooser m_services;
     std::map<uint64_t, std::unique_ptr<ActiveRequest>> m_active; ///< By exchange.
     std::unordered_map<uint64_t, uint64_t> m_exchangeByAttempt;
     std::set<WaitingKey> m_waiting; ///< In sending order.
-    std::map<PoolId, RetryBudget> m_budgets;
+    PoolRetryBudgets m_retryBudgets;
     std::map<PoolId, WaitEstimate> m_waitEstimates;
     AdapterDemand m_adapterDemand;
     uint64_t m_nextAttempt = 1;
     bool m_isAccepting = true;
     bool m_isAcceptingStreams = true;
-    double m_retryRatio = 0;
-    double m_retryAllowance = 0;
-    Millis m_retryWindow {10000};
 };
 
 }
--- a/serving/requestlog.cpp
+++ b/serving/requestlog.cpp
@@ -1,6 +1,7 @@
 #include "serving/requestlog.h"
 
 #include "core/eventlog.h"
+#include "policy/retrybudget.h"
 #include "serving/activerequest.h"
 #include "serving/requestmetrics.h"
 
@@ -110,6 +111,20 @@
     }
 }
 
+void RequestLog::onResent(const ActiveRequest &active, const RetryBudgetState &budget, Millis now)
+{
+    const int64_t resends = ++m_resends[active.pool];
+    if (allowLine(EventCode::RequestResent, {}, now)) {
+        m_log.record(EventCode::RequestResent, active.request.id.text(),
+                     "pool=" + active.pool.text() + " attempt=" + std::to_string(active.attemptCount)
+                         + " replica=" + active.replica.text() + " charged=" + (active.isResendCharged ? "yes" : "no")
+                         + " resends_since_start=" + std::to_string(resends) + " window_retries="
+                         + std::to_string(budget.retries) + " window_requests=" + std::to_string(budget.requests)
+                         + " limit=" + std::to_string(budget.limit) + " allowance=" + std::to_string(budget.allowance)
+                         + " why=" + active.resendCause);
+    }
+}
+
 void RequestLog::onCallerLeft(const ActiveRequest &active, Millis now)
 {
     m_metrics.onCallerLeft(active);
--- a/serving/requestlog.h
+++ b/serving/requestlog.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/eventcode.h"
+#include "core/ids.h"
 #include "core/refusal.h"
 #include "core/units.h"
 
@@ -12,6 +13,7 @@
 namespace vanillaspar
 {
 class EventLog;
+struct RetryBudgetState;
 }
 
 namespace vanillaspar::serving
@@ -37,6 +39,8 @@
     void onFailed(const ActiveRequest &active, const std::string &why, Millis now);
     /** A request is retried. @param why the last attempt failed, for the log. */
     void onRetried(const ActiveRequest &active, const std::string &why, Millis now);
+    /** A request was sent once more. @param budget of its pool on this host, this attempt included. */
+    void onResent(const ActiveRequest &active, const RetryBudgetState &budget, Millis now);
     /** The caller disconnected before its response was complete. */
     void onCallerLeft(const ActiveRequest &active, Millis now);
 
@@ -60,6 +64,7 @@
     Millis m_secondStart;
     std::map<Subject, Budget> m_budgets;
     uint64_t m_served = 0;
+    std::map<PoolId, int64_t> m_resends; ///< Since the start, so that dropped lines show.
 };
 
 }
