Earn retries by requests, so that restarts don't spend the budget again

Cause: each process limited retries by its own sliding window. A process that starts has an empty window and the full allowance, and the requests that had paid for its predecessor's retries pay again within the fleet's window. It is the class of fault of the quota incident: a limit over all hosts whose spent part lives only in a process.

Change: the budget is a token bucket that starts empty; requests earn half of the ratio, time half of the allowance, the other halves bound what is saved. Until all hosts are listed a host has no allowance.

--- a/policy/poolretrybudgets.cpp
+++ b/policy/poolretrybudgets.cpp
@@ -3,21 +3,20 @@
 namespace vanillaspar
 {
 
-void PoolRetryBudgets::configure(double ratio, double allowance, Millis window)
+void PoolRetryBudgets::configure(const RetryLimits &limits, Millis now)
 {
-    m_ratio = ratio;
-    m_allowance = allowance;
-    m_window = window;
+    m_limits = limits;
+    m_start = m_start.value_or(now);
     for (auto &[pool, budget] : m_budgets) {
-        budget.configure(ratio, allowance, window);
+        budget.configure(limits, now);
     }
 }
 
-RetryBudget &PoolRetryBudgets::of(const PoolId &pool)
+RetryBudget &PoolRetryBudgets::of(const PoolId &pool, Millis now)
 {
-    const auto [entry, isNew] = m_budgets.try_emplace(pool);
+    const auto [entry, isNew] = m_budgets.try_emplace(pool, m_start.value_or(now));
     if (isNew) {
-        entry->second.configure(m_ratio, m_allowance, m_window);
+        entry->second.configure(m_limits, m_start.value_or(now));
     }
     return entry->second;
 }
--- a/policy/poolretrybudgets.h
+++ b/policy/poolretrybudgets.h
@@ -5,6 +5,7 @@
 #include "policy/retrybudget.h"
 
 #include <map>
+#include <optional>
 
 namespace vanillaspar
 {
@@ -13,22 +14,15 @@
 class PoolRetryBudgets
 {
 public:
-    /**
-     * Sets the limits of every pool.
-     *
-     * @param ratio retries per request in a window.
-     * @param allowance additional retries of each pool in a window, for this host.
-     * @param window over which requests and retries are counted.
-     */
-    void configure(double ratio, double allowance, Millis window);
-    /** @return the budget of a pool, which begins unused. */
-    RetryBudget &of(const PoolId &pool);
+    /** Sets this host's limits for every pool. The allowance is earned from the first call on. */
+    void configure(const RetryLimits &limits, Millis now);
+    /** @return the budget of a pool; empty of retries until configure() was called. */
+    RetryBudget &of(const PoolId &pool, Millis now);
 
 private:
     std::map<PoolId, RetryBudget> m_budgets;
-    double m_ratio = 0;
-    double m_allowance = 0;
-    Millis m_window {10000};
+    RetryLimits m_limits;
+    std::optional<Millis> m_start; ///< When the limits were set first.
 };
 
 }
--- a/policy/retrybudget.cpp
+++ b/policy/retrybudget.cpp
@@ -1,5 +1,7 @@
 #include "policy/retrybudget.h"
 
+#include <algorithm>
+
 namespace vanillaspar
 {
 
@@ -7,28 +9,43 @@
 {
 
 constexpr int64_t intervalsPerWindow = 10;
+// Of the ratio and of the allowance; the other half bounds what may be saved for later.
+constexpr double earnedPart = 0.5;
 
 }
 
-void RetryBudget::configure(double ratio, double allowance, Millis window)
+RetryBudget::RetryBudget(Millis start) : m_refilledAt(start)
 {
-    m_ratio = ratio;
-    m_allowance = allowance;
-    m_window = window;
 }
 
-Millis RetryBudget::intervalLength() const
+void RetryBudget::configure(const RetryLimits &limits, Millis now)
 {
-    return m_window / intervalsPerWindow;
+    refill(now);
+    m_limits = limits;
 }
 
-RetryBudget::Interval &RetryBudget::current(Millis now)
+double RetryBudget::capacity() const
+{
+    int64_t requests = 0;
+    for (const Interval &interval : m_intervals) {
+        requests += interval.requests;
+    }
+    return (1 - earnedPart) * (m_limits.ratio * static_cast<double>(requests) + m_limits.allowance);
+}
+
+void RetryBudget::refill(Millis now)
 {
-    const Millis length = intervalLength();
-    while (!m_intervals.empty() && now - m_intervals.front().start > m_window + length) {
+    while (!m_intervals.empty() && now - m_intervals.front().start >= m_limits.window) {
         m_intervals.pop_front();
     }
-    if (m_intervals.empty() || now - m_intervals.back().start >= length) {
+    const double windows = toSeconds(now - m_refilledAt) / toSeconds(m_limits.window);
+    m_refilledAt = now;
+    m_level = std::min(m_level + earnedPart * m_limits.allowance * windows, capacity());
+}
+
+RetryBudget::Interval &RetryBudget::current(Millis now)
+{
+    if (m_intervals.empty() || now - m_intervals.back().start >= m_limits.window / intervalsPerWindow) {
         m_intervals.push_back({now, 0, 0});
     }
     return m_intervals.back();
@@ -36,32 +53,34 @@
 
 void RetryBudget::onRequest(Millis now)
 {
+    refill(now);
     ++current(now).requests;
+    m_level = std::min(m_level + earnedPart * m_limits.ratio, capacity());
 }
 
-RetryBudgetState RetryBudget::state(Millis now) const
+bool RetryBudget::tryConsumeRetry(Millis now)
 {
-    RetryBudgetState state;
-    for (const Interval &counted : m_intervals) {
-        if (now - counted.start <= m_window + intervalLength()) {
-            state.requests += counted.requests;
-            state.retries += counted.retries;
-        }
+    refill(now);
+    if (m_level < 1) {
+        return false;
     }
-    state.limit = m_ratio * static_cast<double>(state.requests) + m_allowance;
-    state.allowance = m_allowance;
-    return state;
+    m_level -= 1;
+    ++current(now).retries;
+    return true;
 }
 
-bool RetryBudget::tryConsumeRetry(Millis now)
+RetryBudgetState RetryBudget::state(Millis now)
 {
-    Interval &interval = current(now);
-    const RetryBudgetState counted = state(now);
-    if (static_cast<double>(counted.retries + 1) > counted.limit) {
-        return false;
+    refill(now);
+    RetryBudgetState state;
+    for (const Interval &interval : m_intervals) {
+        state.requests += interval.requests;
+        state.retries += interval.retries;
     }
-    ++interval.retries;
-    return true;
+    state.level = m_level;
+    state.capacity = capacity();
+    state.allowance = m_limits.allowance;
+    return state;
 }
 
 }
--- a/serving/dispatcher.cpp
+++ b/serving/dispatcher.cpp
@@ -48,9 +48,9 @@
 
 Dispatcher::~Dispatcher() = default;
 
-void Dispatcher::setRetryLimits(double ratio, double allowance, Millis window)
+void Dispatcher::setRetryLimits(const RetryLimits &limits)
 {
-    m_retryBudgets.configure(ratio, allowance, window);
+    m_retryBudgets.configure(limits, m_context.clock.now());
 }
 
 void Dispatcher::onRequest(ClientRequest request)
@@ -78,7 +78,7 @@
     std::unique_ptr<ActiveRequest> owned = makeActiveRequest(std::move(request), admitted);
     ActiveRequest &active = *owned;
     m_active.emplace(active.request.exchange, std::move(owned));
-    m_retryBudgets.of(active.pool).onRequest(now);
+    m_retryBudgets.of(active.pool, now).onRequest(now);
     placeOrQueue(active);
 }
 
@@ -167,7 +167,7 @@
     m_exchangeByAttempt[active.attempt] = active.request.exchange;
     active.pendingPrefill = active.request.promptTokens.value;
     if (active.attemptCount > 1) {
-        m_context.log.onResent(active, m_retryBudgets.of(active.pool).state(now), now);
+        m_context.log.onResent(active, m_retryBudgets.of(active.pool, now).state(now), now);
     }
     m_context.chooser.onSending(active, backend);
     m_context.backends.onSent(backend.info.id, active.tokens, active.pendingPrefill, active.priority);
@@ -346,7 +346,7 @@
     const Millis now = m_context.clock.now();
     active->resendCause = "the kept connection ended without a response";
     active->isResendCharged = false;
-    m_context.log.onResent(*active, m_retryBudgets.of(active->pool).state(now), now);
+    m_context.log.onResent(*active, m_retryBudgets.of(active->pool, now).state(now), now);
 }
 
 void Dispatcher::onNotExecuted(ActiveRequest &active)
@@ -407,7 +407,7 @@
 void Dispatcher::retryOrRefuse(ActiveRequest &active, bool countsAsRetry, RefusalCode code, const std::string &why)
 {
     const Millis now = m_context.clock.now();
-    const bool hasBudget = !countsAsRetry || m_retryBudgets.of(active.pool).tryConsumeRetry(now);
+    const bool hasBudget = !countsAsRetry || m_retryBudgets.of(active.pool, now).tryConsumeRetry(now);
     if (!hasBudget || active.attemptCount >= maxAttempts || now >= active.deadline) {
         refuse(active, {code, RunState::NotRun, overloadRetry, why + (hasBudget ? "" : "; no retry budget left")});
         return;
--- a/serving/dispatcher.h
+++ b/serving/dispatcher.h
@@ -68,14 +68,8 @@
     explicit Dispatcher(DispatchContext context);
     ~Dispatcher();
 
-    /**
-     * Limits the retries per pool.
-     *
-     * @param ratio allowed retries per request.
-     * @param allowance retries that this host may send in a window besides.
-     * @param window over which requests and retries are counted.
-     */
-    void setRetryLimits(double ratio, double allowance, Millis window);
+    /** Limits the retries that this host sends to each pool. */
+    void setRetryLimits(const RetryLimits &limits);
     /** Refuses new streams from now on, because the process may exit before they end. */
     void stopAcceptingStreams()
     {
--- a/serving/requestlog.cpp
+++ b/serving/requestlog.cpp
@@ -120,8 +120,8 @@
                          + " replica=" + active.replica.text() + " charged=" + (active.isResendCharged ? "yes" : "no")
                          + " resends_since_start=" + std::to_string(resends) + " window_retries="
                          + std::to_string(budget.retries) + " window_requests=" + std::to_string(budget.requests)
-                         + " limit=" + std::to_string(budget.limit) + " allowance=" + std::to_string(budget.allowance)
-                         + " why=" + active.resendCause);
+                         + " left=" + std::to_string(budget.level) + " capacity=" + std::to_string(budget.capacity)
+                         + " allowance=" + std::to_string(budget.allowance) + " why=" + active.resendCause);
     }
 }
 
--- a/serving/servingnode.cpp
+++ b/serving/servingnode.cpp
@@ -409,11 +409,10 @@
         m_members.setListed();
     }
     m_heartbeats.send(makeOwnHeartbeat());
-    // Requests in flight at the edge of a window count in both windows, so a tenth of the budget is kept in reserve.
-    constexpr double safety = 0.9;
-    m_dispatcher.setRetryLimits(m_settings.retryRatio * safety,
-                                m_settings.retryAllowance * safety / static_cast<double>(m_members.hostCount()),
-                                m_settings.retryWindow);
+    // Until all hosts are known, this one may be one of many.
+    const double allowance = m_members.isListed() ? m_settings.retryAllowance : 0;
+    const RetryLimits limits {m_settings.retryRatio, allowance, m_settings.retryWindow};
+    m_dispatcher.setRetryLimits(limits.shareOf(m_members.hostCount()));
 }
 
 void ServingNode::onRequest(ClientRequest request)
