Charge the retry budget for a request that a kept connection had lost

Replicas saw: idempotent requests and resumable streams twice, without a retry being charged, and callers could read 'not run' for a request that a replica had received: after the second connection was refused, the attempt counted as never sent.

Cause: HttpUpstream repeated such a request on a new connection by itself when the kept one ended without a response. The class is a decision on retries below the layer that accounts for them. Evidence: ReplicaLinkTest.ARequestOnAKeptConnectionThatEndsIsRepeatedOnly..., over real sockets: two arrivals, no retry charged.

Change: for requests to replicas the upstream reports Unanswered, and the dispatcher decides. The replica's failures don't count such an end. Calls of the store are repeated as before.

--- a/net/httpupstream.cpp
+++ b/net/httpupstream.cpp
@@ -274,20 +274,18 @@
         end(connection, UpstreamEnd::Complete, false);
         return;
     }
-    if (connection.request.isRepeatable && !connection.isFresh && !connection.reader->hasStarted()) {
+    const bool isUnanswered = !connection.isFresh && !connection.reader->hasStarted();
+    if (connection.request.isRepeatable && isUnanswered) {
         // The server closed a kept connection while the request was on its way.
         UpstreamRequest request = std::move(connection.request);
         UpstreamHandlers handlers = std::move(connection.handlers);
         const uint64_t exchange = connection.exchange;
         const std::string pool = connection.pool;
         m_connections.erase(entry);
-        if (handlers.onResent) {
-            handlers.onResent();
-        }
         open(pool, std::move(request), std::move(handlers), exchange);
         return;
     }
-    end(connection, UpstreamEnd::Broken, false);
+    end(connection, isUnanswered ? UpstreamEnd::Unanswered : UpstreamEnd::Broken, false);
 }
 
 void HttpUpstream::end(Connection &connection, UpstreamEnd how, bool isReusable)
--- a/net/httpupstream.h
+++ b/net/httpupstream.h
@@ -25,6 +25,7 @@
     Complete,
     NotSent, ///< No byte of the request left this process.
     Broken, ///< The connection ended or fell silent after bytes had been sent.
+    Unanswered, ///< A kept connection ended before a byte of the response; the server may have received the request.
     Malformed, ///< What came back is no HTTP response.
 };
 
@@ -41,7 +42,8 @@
     std::string echoHeader;
     std::string echoValue;
     Millis timeout {0}; ///< Until the response is complete; 0 leaves it to the caller.
-    bool isRepeatable = false; ///< Whether a kept connection that ends unused may be replaced by a new one.
+    /** Whether the request is sent again, on a new connection, if its kept connection ends without a response. */
+    bool isRepeatable = false;
 };
 
 /** What a server's answer consists of. */
@@ -50,7 +52,6 @@
     std::function<void(HttpHead &)> onHead;
     std::function<void(std::string_view)> onBody;
     std::function<void(UpstreamEnd)> onEnd; ///< Called once, last.
-    std::function<void()> onResent; ///< The kept connection ended unused; the request is sent on a new one.
 };
 
 /** A whole answer of a server. */
--- a/serving/dispatcher.cpp
+++ b/serving/dispatcher.cpp
@@ -171,9 +171,8 @@
     }
     m_context.chooser.onSending(active, backend);
     m_context.backends.onSent(backend.info.id, active.tokens, active.pendingPrefill, active.priority);
-    m_context.attempts.send(
-        active.attempt, backend.info, active.request,
-        {active.deadline - now, active.team, active.priority, active.isRetryable(), active.events.lastId()});
+    m_context.attempts.send(active.attempt, backend.info, active.request,
+                            {active.deadline - now, active.team, active.priority, active.events.lastId()});
 }
 
 void Dispatcher::sendWaiting()
@@ -327,28 +326,16 @@
         if (how == UpstreamEnd::Complete) {
             complete(*active);
         } else {
-            onResponseInterrupted(*active);
+            onResponseInterrupted(*active, how);
         }
     } else if (active->outcome == AttemptOutcome::None || active->outcome == AttemptOutcome::Failed) {
-        onResponseLost(*active);
+        onResponseLost(*active, how);
     } else {
         onNotExecuted(*active);
     }
     sendWaiting();
 }
 
-void Dispatcher::onAttemptResent(uint64_t attempt)
-{
-    ActiveRequest *active = findByAttempt(attempt);
-    if (active == nullptr) {
-        return;
-    }
-    const Millis now = m_context.clock.now();
-    active->resendCause = "the kept connection ended without a response";
-    active->isResendCharged = false;
-    m_context.log.onResent(*active, m_retryBudgets.of(active->pool, now).state(now), now);
-}
-
 void Dispatcher::onNotExecuted(ActiveRequest &active)
 {
     const Millis now = m_context.clock.now();
@@ -374,16 +361,18 @@
     retryOrRefuse(active, true, RefusalCode::Overloaded, "the replica refused the request without executing it");
 }
 
-bool Dispatcher::recordPossibleRun(ActiveRequest &active)
+bool Dispatcher::recordPossibleRun(ActiveRequest &active, UpstreamEnd how)
 {
-    m_context.backends.onFailure(active.replica, false, m_context.clock.now());
+    if (how != UpstreamEnd::Unanswered) {
+        m_context.backends.onFailure(active.replica, false, m_context.clock.now());
+    }
     active.mayHaveRunOn.insert(active.replica);
     return static_cast<int>(active.mayHaveRunOn.size()) < active.maxReplicas;
 }
 
-void Dispatcher::onResponseInterrupted(ActiveRequest &active)
+void Dispatcher::onResponseInterrupted(ActiveRequest &active, UpstreamEnd how)
 {
-    if (!recordPossibleRun(active) || !active.isResumable) {
+    if (!recordPossibleRun(active, how) || !active.isResumable) {
         abortResponse(active, "the replica interrupted its response");
         return;
     }
@@ -393,9 +382,9 @@
                   "the stream is resumed after event " + active.events.lastId());
 }
 
-void Dispatcher::onResponseLost(ActiveRequest &active)
+void Dispatcher::onResponseLost(ActiveRequest &active, UpstreamEnd how)
 {
-    if (recordPossibleRun(active) && active.isRetryable()) {
+    if (recordPossibleRun(active, how) && active.isRetryable()) {
         retryOrRefuse(active, true, RefusalCode::OutcomeUnknown,
                       active.outcome == AttemptOutcome::Failed ? "the replica failed the request"
                                                                : "the replica's answer was lost");
--- a/serving/dispatcher.h
+++ b/serving/dispatcher.h
@@ -91,8 +91,6 @@
     void onAttemptBody(uint64_t attempt, std::string_view data);
     /** An attempt ended. @param how whether the response is complete or what went wrong. */
     void onAttemptEnd(uint64_t attempt, UpstreamEnd how);
-    /** An attempt was sent a second time to its replica, because the connection had ended without a response. */
-    void onAttemptResent(uint64_t attempt);
     /** Sends waiting requests, refuses those that waited too long and ends those past their deadline. */
     void tick();
     /** Sends the waiting requests that a replica has capacity for. To be called after capacity may have changed. */
@@ -152,13 +150,14 @@
     /**
      * Records that the replica may have executed the request without a usable response.
      *
+     * @param how the attempt ended; a kept connection that ends unused is no failure of the replica.
      * @return whether the route allows an attempt at another replica.
      */
-    bool recordPossibleRun(ActiveRequest &active);
+    bool recordPossibleRun(ActiveRequest &active, UpstreamEnd how);
     /** The response broke off after its start was forwarded. */
-    void onResponseInterrupted(ActiveRequest &active);
+    void onResponseInterrupted(ActiveRequest &active, UpstreamEnd how);
     /** The attempt ended without a usable response and may have been executed. */
-    void onResponseLost(ActiveRequest &active);
+    void onResponseLost(ActiveRequest &active, UpstreamEnd how);
     /** Finishes the response to the caller. */
     void complete(ActiveRequest &active);
     /**
--- /dev/null
+++ b/tests/platform/replicalinktest.cpp
@@ -0,0 +1,61 @@
+#include "tests/fakes/replicafixture.h"
+
+#include <gtest/gtest.h>
+
+namespace vanillaspar::platform
+{
+
+namespace
+{
+
+class ReplicaLinkTest : public testing::Test, protected ReplicaFixture
+{
+protected:
+    static std::string signedHeaders(const ScriptedReplica::Received &request)
+    {
+        return "Request-Id: " + request.header("Request-Id") + "\r\nResponse-Signature: s\r\n";
+    }
+    static std::string rejection(const ScriptedReplica::Received &request)
+    {
+        return "Request-Id: " + request.header("Request-Id") + "\r\nNot-Executed: 1\r\n";
+    }
+    /** @return the number of retries that the log says were charged to the budget, or were not. */
+    int64_t resends(bool isCharged) const
+    {
+        const std::string field = isCharged ? "charged=yes" : "charged=no";
+        return std::count_if(m_log.lines.begin(), m_log.lines.end(), [&](const auto &line) {
+            return line.first == EventCode::RequestResent && line.second.find(field) != std::string::npos;
+        });
+    }
+};
+
+TEST_F(ReplicaLinkTest, ARequestOnAKeptConnectionThatEndsIsRepeatedOnlyWithinTheRetryBudget)
+{
+    // Each connection answers one request and ends when the second one has arrived.
+    const ScriptedReplica::Script script = [](ScriptedReplica &replica, const ScriptedReplica::Received &request) {
+        if (request.head.target == "/l/first") {
+            replica.respond(request.connection, 200, signedHeaders(request), "ok");
+        } else {
+            replica.close(request.connection);
+        }
+    };
+    addReplica("r1", "desk", script);
+    request(1, "/l/first");
+    runUntil([&] {
+        return hasEnded(1);
+    });
+    request(2, "/l/second");
+    runUntil([&] {
+        return hasEnded(2);
+    });
+    size_t arrivals = 0;
+    for (const ScriptedReplica::Received &received : m_replicas[0]->received()) {
+        arrivals += received.head.target == "/l/second" ? 1 : 0;
+    }
+    EXPECT_EQ(static_cast<int64_t>(arrivals), 1 + resends(true)) << "each arrival beyond the first is charged";
+    EXPECT_EQ(m_callers.answers[2].refusal->runState, RunState::Unknown) << "the replica had received it";
+}
+
+}
+
+}
