Keep to the model load rate across restarts of a host

A host spaces its orders for base models by its share of the weight store's rate, but counted from nothing after a start, so each restart allowed one load at once.

Change: the spacing counts from the process's start. Evidence: ServingNodeTest.AHostThatHasJustStartedWaits... ordered a load at once before and waits now. Looked at without finding: team quotas (buckets start empty), transfers of adapters (paced by their durations), calls to the store (backoff, refusals).

--- a/serving/loadcoordinator.cpp
+++ b/serving/loadcoordinator.cpp
@@ -44,7 +44,7 @@
 
 }
 
-LoadCoordinator::LoadCoordinator(const LoadContext &context) : m_context(context)
+LoadCoordinator::LoadCoordinator(const LoadContext &context) : m_context(context), m_modelLoadAt(context.clock.now())
 {
 }
 
--- a/serving/loadcoordinator.h
+++ b/serving/loadcoordinator.h
@@ -166,7 +166,8 @@
     std::vector<ResidencyReport> m_reportsForHubs; ///< Own reports and those of leaf hosts.
     std::vector<ResidencyReport> m_reportsForLeafHosts; ///< To forward to the leaf hosts of this hub.
     Millis m_leafHostsReportedAt {0};
-    Millis m_modelLoadAt {0};
+    Millis m_modelLoadAt; ///< Last order of a base model; at first the start, as this host's last process may have sent
+                          ///< one.
     Millis m_assignedAt {INT64_MIN / 2}; ///< When this host last changed the table.
     bool m_isAssigning = false;
 };
--- a/tests/serving/servingnodetest.cpp
+++ b/tests/serving/servingnodetest.cpp
@@ -425,6 +425,20 @@
     EXPECT_EQ(lastHeartbeat().modelLoads, 0) << "two such loads would prevent all hosts from ordering another one";
 }
 
+TEST_F(ServingNodeTest, AHostThatHasJustStartedWaitsForItsShareOfTheModelLoadRate)
+{
+    // The process before it may have ordered a load a moment ago.
+    load();
+    makeOwner(false);
+    advance(20, true);
+    ASSERT_EQ(m_orders.reports.size(), 1U);
+    m_orders.answerReport(EngineResidency {});
+    advance(150, true);
+    EXPECT_EQ(m_orders.orders.size(), 0U) << "five loads a second for all hosts";
+    advance(150, true);
+    EXPECT_EQ(m_orders.orders.size(), 1U);
+}
+
 TEST_F(ServingNodeTest, AStoppingHostLeavesTheAddressListAndServesOn)
 {
     load();
