Send a request again on a new connection if its replica has had it before

Other operators saw: a faulty replica wrote an earlier rejection once more on a kept connection; callers were told that a request had not run which the replica was running, or it ran at a second replica.

Cause: a response is matched to its request by the id that it echoes, and each attempt of a request has the same id. A request that a replica had rejected could be sent to it again on the same kept connection, where a late copy of the rejection is indistinguishable from the answer.

Change: an attempt at a replica that was sent the request before opens a new connection.

--- a/net/httpupstream.cpp
+++ b/net/httpupstream.cpp
@@ -109,7 +109,7 @@
 {
     const uint64_t exchange = m_nextId++;
     const std::string pool = poolName(request.endpoint, request.peer);
-    Connection *connection = takeIdle(pool, request.isRepeatable);
+    Connection *connection = request.needsNewConnection ? nullptr : takeIdle(pool, request.isRepeatable);
     if (connection != nullptr) {
         start(*connection, std::move(request), std::move(handlers), exchange);
     } else {
--- a/net/httpupstream.h
+++ b/net/httpupstream.h
@@ -44,6 +44,7 @@
     Millis timeout {0}; ///< Until the response is complete; 0 leaves it to the caller.
     /** Whether the request is sent again, on a new connection, if its kept connection ends without a response. */
     bool isRepeatable = false;
+    bool needsNewConnection = false; ///< Whether no kept connection may be used.
 };
 
 /** What a server's answer consists of. */
--- a/serving/activerequest.h
+++ b/serving/activerequest.h
@@ -62,6 +62,7 @@
     std::string resendCause; ///< Why the last attempt failed, for the log.
     bool isResendCharged = false; ///< Whether the retry budget was charged for the next or current attempt.
     std::set<ReplicaId> mayHaveRunOn; ///< Replicas that may have executed it.
+    std::set<ReplicaId> sentTo; ///< Replicas of earlier attempts.
     std::set<ReplicaId> excluded; ///< Replicas that could not be reached or refused it.
     Millis notBefore {0}; ///< The next attempt is not sent before.
 
--- a/serving/attemptsender.h
+++ b/serving/attemptsender.h
@@ -19,6 +19,7 @@
     Millis timeLeft; ///< The replica cancels the request after this time.
     std::optional<TeamId> team; ///< Team to charge; absent on a public route without a key.
     int priority = 0; ///< 0 is the most urgent.
+    bool isRepeated = false; ///< Whether an earlier attempt was sent to the same replica.
     std::string resumeAfter; ///< Id of the last event that the caller received; empty to start the stream anew.
 };
 
--- a/serving/dispatcher.cpp
+++ b/serving/dispatcher.cpp
@@ -164,6 +164,7 @@
     active.replicaLoad = backend.slotLoad();
     active.outcome = AttemptOutcome::None;
     ++active.attemptCount;
+    const bool isRepeated = !active.sentTo.insert(backend.info.id).second;
     m_exchangeByAttempt[active.attempt] = active.request.exchange;
     active.pendingPrefill = active.request.promptTokens.value;
     if (active.attemptCount > 1) {
@@ -172,7 +173,7 @@
     m_context.chooser.onSending(active, backend);
     m_context.backends.onSent(backend.info.id, active.tokens, active.pendingPrefill, active.priority);
     m_context.attempts.send(active.attempt, backend.info, active.request,
-                            {active.deadline - now, active.team, active.priority, active.events.lastId()});
+                            {active.deadline - now, active.team, active.priority, isRepeated, active.events.lastId()});
 }
 
 void Dispatcher::sendWaiting()
--- a/tests/platform/replicalinktest.cpp
+++ b/tests/platform/replicalinktest.cpp
@@ -1,6 +1,8 @@
 #include "tests/fakes/replicafixture.h"
 
 #include <gtest/gtest.h>
+#include <optional>
+#include <vector>
 
 namespace vanillaspar::platform
 {
@@ -56,6 +58,27 @@
     EXPECT_EQ(m_callers.answers[2].refusal->runState, RunState::Unknown) << "the replica had received it";
 }
 
+TEST_F(ReplicaLinkTest, ACopyOfAnEarlierRejectionIsNotTakenForTheAnswerToTheRetry)
+{
+    // The replica rejects the request, writes the rejection once more when it is sent again, and then runs it.
+    const ScriptedReplica::Script script = [](ScriptedReplica &replica, const ScriptedReplica::Received &request) {
+        const bool isFirst = replica.received().size() == 1;
+        replica.respond(0, 503, rejection(request), "full");
+        if (!isFirst) {
+            replica.respond(request.connection, 200, signedHeaders(request), "data: a\n\n");
+        }
+    };
+    const ScriptedReplica &replica = addReplica("r1", "engines", script);
+    request(1, "/s/x");
+    runUntil([&] {
+        return hasEnded(1);
+    });
+    runFor(Millis(100));
+    EXPECT_EQ(replica.received().size(), 2U) << "it ran at the second attempt";
+    EXPECT_TRUE(m_callers.answers[1].isFinished);
+    EXPECT_FALSE(m_callers.answers[1].refusal);
+}
+
 }
 
 }
