Take no response for a request or an order that can't be told to be its own

Looking further: a response without the id was taken for the current request's also on a kept connection, and any response was taken for the answer to an order or a report, which have no id and share connections with requests.

Evidence: ReplicaLinkTest.ARejectionWithoutId...: a booking was sent twice because of an earlier rejection that came once more without its id; ALateAnswerToARequest...: a late 200 to a request completed an order that the replica had refused with 409. Both over real sockets, both failed before.

Change: on a connection that had earlier requests a response must bear the request's id; a response to an order or a report must bear none.

--- a/net/httpupstream.cpp
+++ b/net/httpupstream.cpp
@@ -61,13 +61,26 @@
 
     void onHead(HttpHead &head);
     void onBody(std::string_view data) const;
+    /** @return whether a response answers the current request, by the header that repeats the request's own one. */
+    bool isEchoed(const HttpHead &head) const;
 };
 
+bool HttpUpstream::Connection::isEchoed(const HttpHead &head) const
+{
+    if (request.echoHeader.empty()) {
+        return true;
+    }
+    const std::string *echo = findHeader(head.headers, request.echoHeader);
+    if (request.echoValue.empty()) {
+        return echo == nullptr;
+    }
+    return echo != nullptr ? *echo == request.echoValue : isFresh;
+}
+
 void HttpUpstream::Connection::onHead(HttpHead &head)
 {
-    const std::string *echo = request.echoHeader.empty() ? nullptr : findHeader(head.headers, request.echoHeader);
     const bool isInterim = head.status < firstFinalStatus;
-    isForeign = isInterim || (echo != nullptr && *echo != request.echoValue);
+    isForeign = isInterim || !isEchoed(head);
     if (isForeign) {
         isUnusable = isUnusable || !isInterim;
         return;
--- a/net/httpupstream.h
+++ b/net/httpupstream.h
@@ -38,9 +38,12 @@
     std::string target;
     HttpHeaders headers;
     std::string body;
-    /** A response whose header of this name has another value belongs to an earlier request and is dropped. */
+    /**
+     * Header in which the server repeats the request's own one, if any. A response with another value, or with none on
+     * a connection that had earlier requests, belongs to one of these and is dropped.
+     */
     std::string echoHeader;
-    std::string echoValue;
+    std::string echoValue; ///< Empty if the response must not have the header.
     Millis timeout {0}; ///< Until the response is complete; 0 leaves it to the caller.
     /** Whether the request is sent again, on a new connection, if its kept connection ends without a response. */
     bool isRepeatable = false;
--- a/tests/platform/replicalinktest.cpp
+++ b/tests/platform/replicalinktest.cpp
@@ -79,6 +79,52 @@
     EXPECT_FALSE(m_callers.answers[1].refusal);
 }
 
+TEST_F(ReplicaLinkTest, ARejectionWithoutIdOnAKeptConnectionIsNotTakenForTheCurrentRequest)
+{
+    const ScriptedReplica::Script script = [](ScriptedReplica &replica, const ScriptedReplica::Received &request) {
+        if (request.header("Request-Id") == "r2") {
+            replica.respond(request.connection, 503, "Not-Executed: 1\r\n", "full");
+        }
+        replica.respond(request.connection, 200, signedHeaders(request), "ok");
+    };
+    const ScriptedReplica &replica = addReplica("r1", "desk", script);
+    for (uint64_t exchange = 1; exchange <= 2; ++exchange) {
+        request(exchange, "/b/x");
+        runUntil([&] {
+            return hasEnded(exchange);
+        });
+    }
+    runFor(Millis(100));
+    EXPECT_EQ(replica.received().size(), 2U) << "no booking is sent twice";
+    EXPECT_EQ(m_callers.answers[2].status, 200);
+}
+
+TEST_F(ReplicaLinkTest, ALateAnswerToARequestIsNotTakenForTheAnswerToAnOrder)
+{
+    const ScriptedReplica::Script script = [](ScriptedReplica &replica, const ScriptedReplica::Received &request) {
+        if (request.head.target == "/-/order") {
+            replica.respond(request.connection, 200, "Request-Id: r1\r\nResponse-Signature: s\r\n", "ok");
+            replica.respond(request.connection, 409, "", "{}");
+        } else {
+            replica.respond(request.connection, 200, signedHeaders(request), "ok");
+        }
+    };
+    addReplica("r1", "desk", script);
+    request(1, "/l/x");
+    runUntil([&] {
+        return hasEnded(1);
+    });
+    std::optional<serving::OrderResult> result;
+    m_link.sendOrder(m_backends.find(ReplicaId("r1"))->info, serving::EngineOrder {},
+                     [&](serving::OrderResult answered) {
+                         result = answered;
+                     });
+    runUntil([&] {
+        return result.has_value();
+    });
+    EXPECT_EQ(*result, serving::OrderResult::Conflict);
+}
+
 }
 
 }
