Resume a stream only by a response of the same kind

Other operators saw: a stream had begun and broke off, the next replica answered with an error, and callers found its text in their stream, or a stream that looked complete.

Cause: any signed success of the next replica was taken for the rest of the stream. Of eight answers, six were kept out before (500, 404, 503 not executed, unsigned, a second head, no HTTP); a 200 with another content type got into the stream, and a 204 made it end as complete.

Change: a response goes on with a stream if its status and content type are those of the first one; any other counts as a failed attempt.

--- a/serving/activerequest.cpp
+++ b/serving/activerequest.cpp
@@ -1,5 +1,6 @@
 #include "serving/activerequest.h"
 
+#include "net/httphead.h"
 #include "serving/admission.h"
 
 #include <algorithm>
@@ -16,6 +17,24 @@
 constexpr double giveUpFraction = 1.5;
 constexpr Millis minObjective(200); // for routes whose objective is shorter than a pause that replicas may make
 
+std::string contentTypeOf(const HttpHead &head)
+{
+    const std::string *type = findHeader(head.headers, "content-type");
+    return type == nullptr ? std::string() : *type;
+}
+
+}
+
+void ActiveRequest::beginResponse(const HttpHead &head, Millis now)
+{
+    answeredAt = now;
+    answerStatus = head.status;
+    answerType = contentTypeOf(head);
+}
+
+bool ActiveRequest::isContinuedBy(const HttpHead &head) const
+{
+    return head.status == answerStatus && contentTypeOf(head) == answerType;
 }
 
 std::unique_ptr<ActiveRequest> makeActiveRequest(ClientRequest request, const Admitted &admitted)
--- a/serving/activerequest.h
+++ b/serving/activerequest.h
@@ -56,6 +56,8 @@
     double replicaLoad = 0; ///< Load of the replica when it was chosen, as a fraction of its slots.
     AdapterAvailability availability; ///< As of the last search for a replica.
     Millis answeredAt {-1}; ///< When the start of the response was forwarded; negative before.
+    int answerStatus = 0; ///< Of the response whose start was forwarded.
+    std::string answerType; ///< Content type of that response.
     EventCutter events; ///< Splits a resumable stream into whole events.
     AttemptOutcome outcome = AttemptOutcome::None;
     int attemptCount = 0; ///< Attempts sent so far.
@@ -71,6 +73,10 @@
     {
         return answeredAt.value >= 0;
     }
+    /** Records the head of the response whose start is forwarded at @p now. */
+    void beginResponse(const HttpHead &head, Millis now);
+    /** @return whether a response may go on in place of the one that was forwarded and broke off. */
+    bool isContinuedBy(const HttpHead &head) const;
     /** @return whether an earlier attempt may have been executed. */
     bool mayHaveRun() const
     {
--- a/serving/dispatcher.cpp
+++ b/serving/dispatcher.cpp
@@ -283,10 +283,10 @@
     }
     if (active->isResponding()) {
         // The status of a resumed stream was already forwarded, so a further failure can't be reported to the caller.
-        active->outcome = isSuccess ? AttemptOutcome::None : AttemptOutcome::Failed;
+        active->outcome = active->isContinuedBy(head.head) ? AttemptOutcome::None : AttemptOutcome::Failed;
         return;
     }
-    active->answeredAt = m_context.clock.now();
+    active->beginResponse(head.head, m_context.clock.now());
     if (active->isEngine && isSuccess) {
         m_context.chooser.onFirstEvent(*active, active->answeredAt);
     }
--- a/tests/platform/replicalinktest.cpp
+++ b/tests/platform/replicalinktest.cpp
@@ -125,6 +125,83 @@
     EXPECT_EQ(*result, serving::OrderResult::Conflict);
 }
 
+/** A stream that one replica begins and breaks off, and that another one is asked to go on with. */
+class ResumedStreamTest : public ReplicaLinkTest
+{
+protected:
+    /** @param script of the second replica. */
+    void breakOffAndResume(const ScriptedReplica::Script &script)
+    {
+        const ScriptedReplica::Script breaking
+            = [](ScriptedReplica &replica, const ScriptedReplica::Received &received) {
+                  replica.write(received.connection,
+                                "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+                                    + signedHeaders(received) + "\r\n1a\r\nid: 1\ndata: a\n\nid: 2\ndata\r\n");
+                  replica.close(received.connection);
+              };
+        const auto either
+            = [this, breaking, script](ScriptedReplica &replica, const ScriptedReplica::Received &received) {
+                  const bool isFirst = received.header("Last-Event-Id").empty();
+                  (isFirst ? breaking : script)(replica, received);
+              };
+        addReplica("r1", "engines", either);
+        addReplica("r2", "engines", either);
+        request(1, "/r/x");
+        runUntil([&] {
+            return hasEnded(1);
+        });
+    }
+    const serving::FakeCallers::Answer &answer()
+    {
+        return m_callers.answers[1];
+    }
+};
+
+TEST_F(ResumedStreamTest, GoesOnBehindItsLastWholeEvent)
+{
+    breakOffAndResume([](ScriptedReplica &replica, const ScriptedReplica::Received &received) {
+        replica.respond(received.connection, 200, "Content-Type: text/event-stream\r\n" + signedHeaders(received),
+                        "id: 2\ndata: b\n\n");
+    });
+    EXPECT_EQ(answer().body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    EXPECT_TRUE(answer().isFinished);
+}
+
+/** What the replica that is asked to go on says; "SIGNED" stands for the request's id and a signature. */
+class BrokenResumptionTest : public ResumedStreamTest, public testing::WithParamInterface<const char *>
+{
+};
+
+TEST_P(BrokenResumptionTest, GetsIntoNoStreamAndMakesNoneLookComplete)
+{
+    size_t asked = 0;
+    breakOffAndResume([&asked](ScriptedReplica &replica, const ScriptedReplica::Received &received) {
+        ++asked;
+        std::string text = GetParam();
+        const std::string mark = "SIGNED\r\n";
+        if (const size_t at = text.find(mark); at != std::string::npos) {
+            text.replace(at, mark.size(), signedHeaders(received));
+        }
+        replica.write(received.connection, text);
+        replica.close(received.connection);
+    });
+    EXPECT_GE(asked, 1U);
+    EXPECT_EQ(answer().body, "id: 1\ndata: a\n\n");
+    EXPECT_TRUE(answer().isAborted);
+    EXPECT_FALSE(answer().isFinished);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Answers, BrokenResumptionTest,
+    testing::Values(
+        "HTTP/1.1 500 X\r\nContent-Length: 6\r\nSIGNED\r\n\r\noops\n\n",
+        "HTTP/1.1 404 X\r\nContent-Type: text/event-stream\r\nContent-Length: 6\r\nSIGNED\r\n\r\noops\n\n",
+        "HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 6\r\nSIGNED\r\n\r\noops\n\n",
+        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 13\r\nSIGNED\r\n\r\n{\"error\":1}\n\n",
+        "HTTP/1.1 204 No Content\r\nSIGNED\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 6\r\n\r\noops\n\n",
+        "HTTP/1.1 500 X\r\nSIGNED\r\nHTTP/1.1 500 X\r\n\r\noops\n\n", "oops\r\n\r\n"));
+
 }
 
 }
