--- a/net/fleettransport.cpp
+++ b/net/fleettransport.cpp
@@ -28,7 +28,13 @@
 {
     const std::string frame = m_codec.encode(m_self, message);
     for (const std::string &address : addresses) {
-        m_socket.send(Endpoint::parse(address), frame);
+        try {
+            m_socket.send(Endpoint::parse(address), frame);
+        } catch (const DocumentError &error) {
+            if (m_rejectedAddresses.insert(address).second) {
+                m_log.record(EventCode::MessageRejected, address, error.what());
+            }
+        }
     }
 }
 
--- a/net/fleettransport.h
+++ b/net/fleettransport.h
@@ -5,6 +5,8 @@
 #include "net/datagramsocket.h"
 
 #include <functional>
+#include <set>
+#include <string>
 
 namespace vanillaspar
 {
@@ -34,6 +36,7 @@
     EventLog &m_log;
     Handler m_handler;
     DatagramSocket m_socket;
+    std::set<std::string> m_rejectedAddresses; ///< That were logged.
 };
 
 }
