Heed replicas that say they are leaving or ask for a pause

Replicas say in any answer that they leave (Server-Leaving), and with a 503 for how long they want nothing from this host (Retry-After). Neither was read: a leaving replica got requests until its entry told, and a full one was asked again after 25 ms.

A replica that said it leaves gets nothing until its next incarnation, whatever its entry, peers or time say; other hosts are told for as long as it has an entry, and their mark now lasts for 5 s after the last report instead of the first one. A paused replica gets no request, order or report until the longest pause it asked for is over; requests of which no byte has left go elsewhere. While all candidates are paused a request waits only if the first pause ends within its wait deadline (policy/replicapause), otherwise it is refused at once with a Retry-After behind the pause's end, spread by request.

--- a/core/eventcode.cpp
+++ b/core/eventcode.cpp
@@ -33,6 +33,7 @@
         {EventCode::ReplicaRestarted, Severity::Warning, "replica-restarted"},
         {EventCode::ReplicaUnreachable, Severity::Warning, "replica-unreachable"},
         {EventCode::ReplicaLeaving, Severity::Info, "replica-leaving"},
+        {EventCode::ReplicaPaused, Severity::Info, "replica-paused"},
         {EventCode::AdapterLoaded, Severity::Info, "adapter-loaded"},
         {EventCode::AdapterUnloaded, Severity::Info, "adapter-unloaded"},
         {EventCode::LoadFailed, Severity::Warning, "load-failed"},
--- a/core/eventcode.h
+++ b/core/eventcode.h
@@ -34,6 +34,7 @@
     ReplicaRestarted = 402,
     ReplicaUnreachable = 403,
     ReplicaLeaving = 404,
+    ReplicaPaused = 405,
     AdapterLoaded = 410,
     AdapterUnloaded = 411,
     LoadFailed = 412,
--- a/main/entrymetrics.cpp
+++ b/main/entrymetrics.cpp
@@ -67,6 +67,10 @@
                     .Name("vanillaspar_retries_total")
                     .Help("Requests that were sent to a replica once more")
                     .Register(*m_registry))
+    , m_notices(prometheus::BuildCounter()
+                    .Name("vanillaspar_replica_notices_total")
+                    .Help("Notices in replicas' answers: pauses that they ask for, and that they are leaving")
+                    .Register(*m_registry))
 {
 }
 
@@ -103,6 +107,16 @@
     m_retries.Add({{"kind", kindName(active.kind)}}).Increment();
 }
 
+void EntryMetrics::onReplicaPaused()
+{
+    m_notices.Add({{"notice", "pause"}}).Increment();
+}
+
+void EntryMetrics::onReplicaSaidLeaving()
+{
+    m_notices.Add({{"notice", "leaving"}}).Increment();
+}
+
 void EntryMetrics::onCallerLeft(const serving::ActiveRequest &active)
 {
     count(active, "caller-left");
--- a/main/entrymetrics.h
+++ b/main/entrymetrics.h
@@ -31,6 +31,8 @@
     void onFailed(const serving::ActiveRequest &active) override;
     void onRetried(const serving::ActiveRequest &active) override;
     void onCallerLeft(const serving::ActiveRequest &active) override;
+    void onReplicaPaused() override;
+    void onReplicaSaidLeaving() override;
 
     /** @return the page that a scraper reads. */
     std::string page(const std::vector<std::pair<std::string, double>> &gauges) const;
@@ -45,6 +47,7 @@
     prometheus::Family<prometheus::Counter> &m_requests;
     prometheus::Family<prometheus::Counter> &m_refusals;
     prometheus::Family<prometheus::Counter> &m_retries;
+    prometheus::Family<prometheus::Counter> &m_notices;
 };
 
 }
--- a/main/vanillasparentry.cpp
+++ b/main/vanillasparentry.cpp
@@ -58,6 +58,7 @@
                                                                          }},
                                                   randomSeed());
     replicas.setDispatcher(&node->dispatcher());
+    replicas.setNoticeListener(&node->replicaNotices());
     callers.setNode(node.get());
     directory.setNode(node.get());
     directory.listen(Endpoint::parse(settings.directoryAddress));
--- a/net/httpupstream.cpp
+++ b/net/httpupstream.cpp
@@ -137,6 +137,7 @@
     UpstreamHandlers handlers;
     handlers.onHead = [answer](HttpHead &head) {
         answer->status = head.status;
+        answer->headers = head.headers;
     };
     handlers.onBody = [answer](std::string_view data) {
         answer->body.append(data);
@@ -332,6 +333,21 @@
     m_connections.erase(connection);
 }
 
+void HttpUpstream::abandonUnsent(const Endpoint &endpoint, const std::string &peer)
+{
+    m_abandonedPools.insert(poolName(endpoint, peer));
+}
+
+bool HttpUpstream::isOverdue(const Connection &connection, Millis now) const
+{
+    const Millis age = now - connection.startedAt;
+    const bool isConnecting = !connection.socket->isConnected();
+    const bool isTooLate = connection.request.timeout.value > 0 && age > connection.request.timeout;
+    const bool isUnsent = connection.socket->bytesSent() == connection.sentBefore;
+    return (isConnecting && age > connectTimeout) || isTooLate
+        || (isUnsent && m_abandonedPools.count(connection.pool) > 0);
+}
+
 void HttpUpstream::sweep()
 {
     m_retired.clear();
@@ -341,13 +357,11 @@
         if (connection->exchange == 0) {
             continue;
         }
-        const Millis age = now - connection->startedAt;
-        const bool isConnecting = !connection->socket->isConnected();
-        const bool isOverdue = connection->request.timeout.value > 0 && age > connection->request.timeout;
-        if ((isConnecting && age > connectTimeout) || isOverdue) {
+        if (isOverdue(*connection, now)) {
             timedOut.push_back(id);
         }
     }
+    m_abandonedPools.clear();
     for (const uint64_t id : timedOut) {
         const auto entry = m_connections.find(id);
         if (entry != m_connections.end() && entry->second->exchange != 0) {
--- a/net/httpupstream.h
+++ b/net/httpupstream.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -63,6 +64,7 @@
 {
     UpstreamEnd end = UpstreamEnd::NotSent;
     int status = 0; ///< 0 if no answer began.
+    HttpHeaders headers;
     std::string body;
 };
 
@@ -79,6 +81,12 @@
     uint64_t send(UpstreamRequest request, UpstreamHandlers handlers);
     /** Sends a request whose answer is wanted as a whole. @return a number for cancel(). */
     uint64_t sendWhole(UpstreamRequest request, std::function<void(const UpstreamAnswer &)> handler);
+    /**
+     * Ends the exchanges with a peer of which no byte has left this process, soon and as not sent.
+     *
+     * @param peer as given in their requests.
+     */
+    void abandonUnsent(const Endpoint &endpoint, const std::string &peer);
     /** Closes the exchange's connection; none of its handlers is called again. */
     void cancel(uint64_t exchange);
 
@@ -94,6 +102,8 @@
     void onSocketEnd(uint64_t id, SocketEnd how);
     void end(Connection &connection, UpstreamEnd how, bool isReusable);
     void sweep();
+    /** @return whether the exchange on a connection has to end: without having been sent, or without an answer. */
+    bool isOverdue(const Connection &connection, Millis now) const;
 
     Loop &m_loop;
     const Clock &m_clock;
@@ -101,6 +111,7 @@
     std::map<uint64_t, uint64_t> m_connectionByExchange;
     std::map<std::string, std::vector<uint64_t>> m_idle; ///< The most lately used last.
     std::vector<std::unique_ptr<Connection>> m_retired; ///< Cancelled, perhaps from inside their own handlers.
+    std::set<std::string> m_abandonedPools; ///< Whose unsent exchanges the next sweep ends.
     uint64_t m_nextId = 1;
 };
 
--- a/serving/activerequest.cpp
+++ b/serving/activerequest.cpp
@@ -1,5 +1,6 @@
 #include "serving/activerequest.h"
 
+#include "core/hash.h"
 #include "net/httphead.h"
 #include "serving/admission.h"
 
@@ -32,6 +33,12 @@
     answerType = contentTypeOf(head);
 }
 
+double ActiveRequest::returnSpread() const
+{
+    constexpr uint64_t parts = 1024;
+    return static_cast<double>(stableHash(request.id.text()) % parts) / static_cast<double>(parts);
+}
+
 bool ActiveRequest::isContinuedBy(const HttpHead &head) const
 {
     return head.status == answerStatus && contentTypeOf(head) == answerType;
--- a/serving/activerequest.h
+++ b/serving/activerequest.h
@@ -82,6 +82,8 @@
     {
         return !mayHaveRunOn.empty();
     }
+    /** @return a fraction from 0 to 1 that differs between requests, to spread their callers' retries. */
+    double returnSpread() const;
     /** @return whether it may be executed more than once. */
     bool isRetryable() const
     {
--- a/serving/backendtable.cpp
+++ b/serving/backendtable.cpp
@@ -20,6 +20,8 @@
 constexpr int maxDoublings = 4;
 // A removed server still completes its open requests for some seconds.
 constexpr Millis removedRetention(30000);
+// The entry of a server that said itself that it is leaving may come back after an outage of the store.
+constexpr Millis leftRetention(600000);
 // Longer than a host waits for heartbeats before it reads the entries itself.
 constexpr Millis leavingRetention(5000);
 
@@ -43,12 +45,16 @@
         state->avoidUntil = Millis(0);
         state->pace = {};
     }
+    if (isNewIncarnation) {
+        state->hasSaidLeaving = false;
+        state->pause = {};
+    }
     state->isRemoved = false;
     // The entry may be older than the report of another host, so only a new incarnation overrides the report at once.
     state->isReportedLeaving = state->isReportedLeaving && !isNewIncarnation;
     if (backend.isLeaving) {
         recordLeaving(*state, now);
-    } else if (!state->isReportedLeaving) {
+    } else if (!state->isReportedLeaving && !state->hasSaidLeaving) {
         state->leavingSince = Millis(-1);
     }
     state->info = std::move(backend);
@@ -75,7 +81,11 @@
 const BackendState *BackendTable::onLeavingReported(uint32_t shortId, Millis now)
 {
     const auto entry = m_byShortId.find(shortId);
-    if (entry == m_byShortId.end() || !entry->second->isUsable()) {
+    if (entry == m_byShortId.end()) {
+        return nullptr;
+    }
+    entry->second->reportedAt = now;
+    if (!entry->second->isUsable()) {
         return nullptr;
     }
     entry->second->isReportedLeaving = true;
@@ -83,14 +93,21 @@
     return entry->second;
 }
 
+void BackendTable::onSaidLeaving(BackendState &state, Millis now)
+{
+    state.hasSaidLeaving = true;
+    recordLeaving(state, now);
+}
+
 std::vector<uint32_t> BackendTable::recentlyLeaving(Millis now, Millis freshAsOf)
 {
     std::vector<uint32_t> leaving;
     for (const auto &[id, state] : m_backends) {
-        if (state->isReportedLeaving && std::min(now, freshAsOf) - state->leavingSince >= leavingRetention) {
+        if (state->isReportedLeaving && std::min(now, freshAsOf) - state->reportedAt >= leavingRetention) {
             state->isReportedLeaving = false; // the report has expired; the entry decides
         }
-        if (state->leavingSince.value >= 0 && now - state->leavingSince < leavingRetention) {
+        const bool isRecent = state->leavingSince.value >= 0 && now - state->leavingSince < leavingRetention;
+        if (isRecent || (state->hasSaidLeaving && !state->isRemoved)) {
             leaving.push_back(state->shortId);
         }
     }
@@ -102,7 +119,8 @@
     std::vector<ReplicaId> forgotten;
     for (auto entry = m_backends.begin(); entry != m_backends.end();) {
         const BackendState &state = *entry->second;
-        if (state.isRemoved && state.own.running == 0 && now - state.removedAt > removedRetention) {
+        const Millis retention = state.hasSaidLeaving ? leftRetention : removedRetention;
+        if (state.isRemoved && state.own.running == 0 && now - state.removedAt > retention) {
             m_byShortId.erase(state.shortId);
             forgotten.push_back(entry->first);
             entry = m_backends.erase(entry);
--- a/serving/backendtable.h
+++ b/serving/backendtable.h
@@ -3,6 +3,7 @@
 #include "core/ids.h"
 #include "core/units.h"
 #include "policy/replicapace.h"
+#include "policy/replicapause.h"
 #include "serving/backend.h"
 #include "serving/replicaload.h"
 
@@ -31,6 +32,9 @@
     int consecutiveFailures = 0;
     bool isRemoved = false; ///< Whether its entry was removed from service discovery.
     bool isReportedLeaving = false; ///< Whether another host reported it as leaving; the entry known here may be older.
+    Millis reportedAt; ///< When another host last reported that.
+    bool hasSaidLeaving = false; ///< Whether this incarnation said in an answer to this host that it is leaving.
+    ReplicaPause pause; ///< That this incarnation asked this host for.
     Millis leavingSince {-1}; ///< When it became known to be leaving; negative if it isn't.
     Millis removedAt; ///< When its entry was removed.
 
@@ -47,7 +51,7 @@
     /** @return whether new requests may be sent to it. */
     bool isUsable() const
     {
-        return !info.isLeaving && !isRemoved && !isReportedLeaving;
+        return !info.isLeaving && !isRemoved && !isReportedLeaving && !hasSaidLeaving;
     }
 };
 
@@ -66,12 +70,15 @@
      * @return the server; nullptr if it is unknown or already out of use.
      */
     const BackendState *onLeavingReported(uint32_t shortId, Millis now);
+    /** Marks a server as leaving that said so in an answer, until its next incarnation. */
+    static void onSaidLeaving(BackendState &state, Millis now);
     /**
      * Expires reports of leaving servers that the entries here no longer confirm.
      *
      * @param freshAsOf when the entries here were last known to equal the store's. A server that was reported as
      * leaving stays unused until the entries are newer than the report.
-     * @return short ids of the servers that became known to be leaving in the last seconds, to report to other hosts.
+     * @return short ids of the servers that became known to be leaving in the last seconds, and of those that said so
+     * themselves, to report to other hosts.
      */
     std::vector<uint32_t> recentlyLeaving(Millis now, Millis freshAsOf);
     /** Deletes removed servers without open requests after a retention time. @return their ids. */
--- a/serving/dispatcher.cpp
+++ b/serving/dispatcher.cpp
@@ -2,6 +2,7 @@
 
 #include "cluster/messages/fleet.h"
 #include "core/clock.h"
+#include "policy/replicapause.h"
 #include "serving/adapterversions.h"
 #include "serving/admission.h"
 #include "serving/backendtable.h"
@@ -141,6 +142,16 @@
                {RefusalCode::NoReplica, RunState::NotRun, noReplicaRetry, "no replica of the pool accepts requests"});
         return Placement::Ended;
     }
+    if (choice.pausedUntil) {
+        const PausedPlacement placement
+            = placeDuringPause(*choice.pausedUntil, active.waitDeadline, active.returnSpread(), now);
+        if (!placement.waits) {
+            refuse(active,
+                   {RefusalCode::Overloaded, RunState::NotRun, placement.retryAfter,
+                    "all replicas of the pool have asked for a pause"});
+        }
+        return placement.waits ? Placement::Waits : Placement::Ended;
+    }
     if (choice.loadTarget != nullptr) {
         m_adapterDemand.onNeeded(choice.loadTarget->info.id, active.request.weights,
                                  now + normalWait < active.lateAfter);
--- a/serving/enginechooser.cpp
+++ b/serving/enginechooser.cpp
@@ -129,8 +129,10 @@
                                     return active.mayHaveRunOn.count(state->info.id) > 0;
                                 }),
                  usable.end());
+    const bool hasCandidates = !usable.empty();
+    const std::optional<Millis> pausedUntil = removePaused(usable, now);
     const Holders holders = evaluateHolders(active, usable, engine, now);
-    ReplicaChoice choice {holders.best, nullptr, !usable.empty(), holders.availability};
+    ReplicaChoice choice {holders.best, nullptr, hasCandidates, pausedUntil, holders.availability};
     if (!holders.availability.hasPendingLoad && holders.leastLoad >= spreadThreshold) {
         choice.loadTarget = chooseLoadTarget(active, usable, engine, holders.best == nullptr, now);
     }
--- a/serving/loadcoordinator.cpp
+++ b/serving/loadcoordinator.cpp
@@ -206,7 +206,8 @@
     const Millis now = m_context.clock.now();
     const OwnerEntry *entry = m_owners.find(replica);
     const BackendState *state = m_context.backends.find(replica);
-    if (state == nullptr || !mayOrder(replica) || !state->isUsable() || now < state->avoidUntil) {
+    if (state == nullptr || !mayOrder(replica) || !state->isUsable() || now < state->avoidUntil
+        || state->pause.isActive(now)) {
         return;
     }
     const EngineSpec *engine = m_context.admission.engineOf(state->info.pool);
--- a/serving/replicachoice.h
+++ b/serving/replicachoice.h
@@ -3,6 +3,9 @@
 #include "core/ids.h"
 #include "core/units.h"
 
+#include <optional>
+#include <vector>
+
 namespace vanillaspar::serving
 {
 
@@ -21,9 +24,18 @@
     BackendState *backend = nullptr; ///< Replica to send to; nullptr if none that could execute it has capacity.
     BackendState *loadTarget = nullptr; ///< Replica to load its adapter on; nullptr if no load is needed.
     bool hasCandidates = true; ///< Whether the pool has any replica that may take the request.
+    /** When the first pause of a candidate ends, if all of them are paused. */
+    std::optional<Millis> pausedUntil;
     AdapterAvailability availability;
 };
 
+/**
+ * Removes the replicas that are paused.
+ *
+ * @return when the first pause ends, if that leaves none of them.
+ */
+std::optional<Millis> removePaused(std::vector<BackendState *> &replicas, Millis now);
+
 /** Penalties that are added to a replica's load when replicas are compared; 1 is the load of a full replica. */
 struct ReplicaPenalties
 {
--- a/serving/requestmetrics.h
+++ b/serving/requestmetrics.h
@@ -23,6 +23,10 @@
     virtual void onFailed(const ActiveRequest &active) = 0;
     /** A request is retried, at the same or at another replica. */
     virtual void onRetried(const ActiveRequest &active) = 0;
+    /** A replica asked this host to send it nothing for a time. */
+    virtual void onReplicaPaused() = 0;
+    /** A replica said in an answer that it is leaving. */
+    virtual void onReplicaSaidLeaving() = 0;
     /** The caller disconnected before its response was complete. */
     virtual void onCallerLeft(const ActiveRequest &active) = 0;
 };
--- a/serving/servicechooser.cpp
+++ b/serving/servicechooser.cpp
@@ -3,6 +3,9 @@
 #include "serving/activerequest.h"
 #include "serving/backendtable.h"
 
+#include <algorithm>
+#include <vector>
+
 namespace vanillaspar::serving
 {
 
@@ -23,14 +26,17 @@
 
 ReplicaChoice ServiceChooser::choose(const ActiveRequest &active, Millis now)
 {
+    std::vector<BackendState *> usable = m_backends.usable(active.pool);
+    usable.erase(std::remove_if(usable.begin(), usable.end(),
+                                [&](const BackendState *state) {
+                                    return active.mayHaveRunOn.count(state->info.id) > 0;
+                                }),
+                 usable.end());
     ReplicaChoice choice;
-    choice.hasCandidates = false;
+    choice.hasCandidates = !usable.empty();
+    choice.pausedUntil = removePaused(usable, now);
     double best = 0;
-    for (BackendState *state : m_backends.usable(active.pool)) {
-        if (active.mayHaveRunOn.count(state->info.id) > 0) {
-            continue;
-        }
-        choice.hasCandidates = true;
+    for (BackendState *state : usable) {
         const double load = state->slotLoad();
         if (load >= 1 + maxQueuePerSlot || active.excluded.count(state->info.id) > 0) {
             continue;
--- a/serving/servingnode.cpp
+++ b/serving/servingnode.cpp
@@ -88,6 +88,7 @@
               return m_loads.canOrder(replica);
           },
           m_random)
+    , m_notices(m_ports.clock, m_backends, m_ports.log, m_ports.metrics)
     , m_requestLog(m_ports.log, m_ports.metrics)
     , m_dispatcher({m_ports.clock, m_ports.callers, m_ports.attempts, m_admission, m_backends, m_residency, m_versions,
                     m_chooser, m_requestLog, m_settings.domain})
@@ -178,7 +179,7 @@
             m_expiredEntries.erase(id);
             const BackendState *known = m_backends.find(id);
             const bool isNew = known == nullptr || known->info.residency.incarnation != backend.residency.incarnation
-                || (!known->isUsable() && !backend.isLeaving);
+                || (!known->isUsable() && !known->hasSaidLeaving && !backend.isLeaving);
             if (isNew) {
                 m_backendsRevision = std::max(m_backendsRevision, record.revision);
             }
--- a/serving/servingnode.h
+++ b/serving/servingnode.h
@@ -15,6 +15,7 @@
 #include "serving/loadcoordinator.h"
 #include "serving/pollintervals.h"
 #include "serving/recordmirror.h"
+#include "serving/replicanotices.h"
 #include "serving/requestlog.h"
 #include "serving/residencymap.h"
 #include "serving/servingsettings.h"
@@ -86,6 +87,11 @@
     {
         return m_dispatcher;
     }
+    /** @return the listener for what replicas say of themselves in their answers. */
+    ReplicaNoticeListener &replicaNotices()
+    {
+        return m_notices;
+    }
     /** Handles a message from the host @p from. */
     void onPeerMessage(const HostId &from, const Message &message);
     /** Runs all periodic work that is due; to be called every few milliseconds. */
@@ -142,6 +148,7 @@
     AdapterVersions m_versions;
     FleetMembers m_members;
     EngineChooser m_chooser;
+    ReplicaNotices m_notices;
     RequestLog m_requestLog;
     Dispatcher m_dispatcher;
     RecordMirror m_configuration;
--- a/tests/fakes/dispatchfixture.h
+++ b/tests/fakes/dispatchfixture.h
@@ -6,6 +6,7 @@
 #include "serving/backendtable.h"
 #include "serving/dispatcher.h"
 #include "serving/enginechooser.h"
+#include "serving/replicanotices.h"
 #include "serving/requestlog.h"
 #include "serving/residencymap.h"
 #include "tests/fakes/servingfakes.h"
@@ -68,6 +69,7 @@
                              },
                              m_random};
     FakeMetrics m_metrics;
+    ReplicaNotices m_notices {m_clock, m_backends, m_log, m_metrics};
     RequestLog m_requestLog {m_log, m_metrics};
     Dispatcher m_dispatcher {{m_clock, m_callers, m_attempts, m_admission, m_backends, m_residency, m_versions,
                               m_chooser, m_requestLog, DomainId("a")}};
--- a/tests/fakes/replicafixture.h
+++ b/tests/fakes/replicafixture.h
@@ -22,6 +22,7 @@
     ReplicaFixture() : DispatchFixture(1)
     {
         m_link.setDispatcher(&m_served);
+        m_link.setNoticeListener(&m_notices);
         m_clock.setNow(startTime - retryLimits.window);
         m_served.setRetryLimits(retryLimits);
         startDispatch(Millis(1000000000));
--- a/tests/fakes/servingfakes.h
+++ b/tests/fakes/servingfakes.h
@@ -39,7 +39,7 @@
     std::vector<std::pair<EventCode, std::string>> lines;
 };
 
-/** Metrics that are discarded. */
+/** Metrics that are discarded, except for notices of replicas. */
 class FakeMetrics : public RequestMetrics
 {
 public:
@@ -58,6 +58,17 @@
     void onCallerLeft(const ActiveRequest & /*active*/) override
     {
     }
+    void onReplicaPaused() override
+    {
+        ++pauses;
+    }
+    void onReplicaSaidLeaving() override
+    {
+        ++leavings;
+    }
+
+    int64_t pauses = 0;
+    int64_t leavings = 0;
 };
 
 /** Callers that keep the answers they get. */
