Name a notice's replica and incarnation instead of copying its entry

The listener got a copy of the replica's whole entry, with all its adapters, for every request that was sent. It needs the id and the incarnation.

--- a/policy/replicapause.cpp
+++ b/policy/replicapause.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-constexpr Millis longestPause(24LL * 3600 * 1000); // bounds what a faulty replica can make the clock overflow with
+constexpr Millis longestPause(24LL * 3600 * 1000); // so that no value of a faulty replica overflows
 constexpr Millis sendTime(20); // from the end of the wait to the arrival at the replica
 constexpr Millis minReturnSpan(300); // over which refused callers return
 constexpr double returnSpanPart = 0.5; // of the rest of the pause
--- a/serving/replicanotice.h
+++ b/serving/replicanotice.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/ids.h"
 #include "core/units.h"
 
 #include <cstdint>
@@ -9,8 +10,6 @@
 namespace vanillaspar::serving
 {
 
-struct Backend;
-
 /** What a replica says of itself in any of its answers, besides answering. */
 struct ReplicaNotice
 {
@@ -34,9 +33,11 @@
     /**
      * A replica gave a notice.
      *
-     * @param backend the replica as it was when the answered call was sent; the notice is its incarnation's.
+     * @param replica that gave it.
+     * @param incarnation that the answered call was sent to, as in EngineResidency.
+     * @param notice what it says.
      */
-    virtual void onReplicaNotice(const Backend &backend, const ReplicaNotice &notice) = 0;
+    virtual void onReplicaNotice(const ReplicaId &replica, int64_t incarnation, const ReplicaNotice &notice) = 0;
 };
 
 }
--- a/serving/replicanotices.cpp
+++ b/serving/replicanotices.cpp
@@ -20,30 +20,30 @@
 {
 }
 
-void ReplicaNotices::onReplicaNotice(const Backend &backend, const ReplicaNotice &notice)
+void ReplicaNotices::onReplicaNotice(const ReplicaId &replica, int64_t incarnation, const ReplicaNotice &notice)
 {
     const Millis now = m_clock.now();
-    BackendState *state = m_backends.find(backend.id);
-    if (state == nullptr || state->info.residency.incarnation != backend.residency.incarnation) {
+    BackendState *state = m_backends.find(replica);
+    if (state == nullptr || state->info.residency.incarnation != incarnation) {
         return;
     }
     if (notice.isLeaving && !state->hasSaidLeaving) {
         m_backends.onSaidLeaving(*state, now);
         m_metrics.onReplicaSaidLeaving();
-        m_log.record(EventCode::ReplicaLeaving, backend.id.text(), "it says so in an answer");
+        m_log.record(EventCode::ReplicaLeaving, replica.text(), "it says so in an answer");
     }
     if (notice.pause) {
         const bool wasActive = state->pause.isActive(now);
         state->pause.extend(*notice.pause, now);
         if (!wasActive && state->pause.isActive(now)) {
             m_metrics.onReplicaPaused();
-            m_log.record(EventCode::ReplicaPaused, backend.id.text(),
+            m_log.record(EventCode::ReplicaPaused, replica.text(),
                          "it asks for nothing for " + std::to_string(notice.pause->value) + " ms");
         }
     }
     if (!notice.unreadablePause.empty() && now - m_unreadableLoggedAt >= unreadableLogInterval) {
         m_unreadableLoggedAt = now;
-        m_log.record(EventCode::ReplicaPaused, backend.id.text(),
+        m_log.record(EventCode::ReplicaPaused, replica.text(),
                      "its Retry-After \"" + notice.unreadablePause + "\" is no number of seconds and is ignored");
     }
 }
--- a/serving/replicanotices.h
+++ b/serving/replicanotices.h
@@ -21,7 +21,7 @@
 public:
     ReplicaNotices(const Clock &clock, BackendTable &backends, EventLog &log, RequestMetrics &metrics);
 
-    void onReplicaNotice(const Backend &backend, const ReplicaNotice &notice) override;
+    void onReplicaNotice(const ReplicaId &replica, int64_t incarnation, const ReplicaNotice &notice) override;
 
 private:
     const Clock &m_clock;
--- a/tests/fakes/replicafixture.h
+++ b/tests/fakes/replicafixture.h
@@ -8,6 +8,7 @@
 #include "tests/fakes/scriptedreplica.h"
 
 #include <functional>
+#include <gtest/gtest.h>
 #include <memory>
 #include <string>
 #include <vector>
--- a/tests/platform/replicalinktest.cpp
+++ b/tests/platform/replicalinktest.cpp
@@ -139,11 +139,10 @@
                                     + signedHeaders(received) + "\r\n1a\r\nid: 1\ndata: a\n\nid: 2\ndata\r\n");
                   replica.close(received.connection);
               };
-        const auto either
-            = [this, breaking, script](ScriptedReplica &replica, const ScriptedReplica::Received &received) {
-                  const bool isFirst = received.header("Last-Event-Id").empty();
-                  (isFirst ? breaking : script)(replica, received);
-              };
+        const auto either = [breaking, script](ScriptedReplica &replica, const ScriptedReplica::Received &received) {
+            const bool isFirst = received.header("Last-Event-Id").empty();
+            (isFirst ? breaking : script)(replica, received);
+        };
         addReplica("r1", "engines", either);
         addReplica("r2", "engines", either);
         request(1, "/r/x");
--- a/tests/platform/replicanoticetest.cpp
+++ b/tests/platform/replicanoticetest.cpp
@@ -97,7 +97,7 @@
     serving::ReplicaNotice notice;
     notice.isLeaving = true;
     notice.pause = Millis(5000);
-    m_notices.onReplicaNotice(entryOf("r1", 0), notice);
+    m_notices.onReplicaNotice(ReplicaId("r1"), 0, notice);
     EXPECT_TRUE(m_backends.find(ReplicaId("r1"))->isUsable());
     EXPECT_FALSE(m_backends.find(ReplicaId("r1"))->pause.isActive(m_clock.now()));
 }
--- a/tests/serving/replicanoticestest.cpp
+++ b/tests/serving/replicanoticestest.cpp
@@ -122,7 +122,7 @@
                 replica.sentBeforeNotice = (m_attempts.sent.empty() ? batch : m_attempts.sent).back().attempt;
             }
             if (m_hearsNotices) {
-                m_notices.onReplicaNotice(m_backends.find(sent.replica)->info, notice);
+                m_notices.onReplicaNotice(sent.replica, replica.incarnation, notice);
             }
             HttpHead head;
             head.status = isRejected ? 503 : 200;
