Count a kept connection that a replica resets as its failure again

But a replica that loses answers by resets, or crashes, ends kept connections the same way and got further requests. The distinction goes; such an end is an ordinary loss.

--- a/net/httpupstream.cpp
+++ b/net/httpupstream.cpp
@@ -288,8 +288,7 @@
         end(connection, UpstreamEnd::Complete, false);
         return;
     }
-    const bool isUnanswered = !connection.isFresh && !connection.reader->hasStarted();
-    if (connection.request.isRepeatable && isUnanswered) {
+    if (connection.request.isRepeatable && !connection.isFresh && !connection.reader->hasStarted()) {
         // The server closed a kept connection while the request was on its way.
         UpstreamRequest request = std::move(connection.request);
         UpstreamHandlers handlers = std::move(connection.handlers);
@@ -299,7 +298,7 @@
         open(pool, std::move(request), std::move(handlers), exchange);
         return;
     }
-    end(connection, isUnanswered ? UpstreamEnd::Unanswered : UpstreamEnd::Broken, false);
+    end(connection, UpstreamEnd::Broken, false);
 }
 
 void HttpUpstream::end(Connection &connection, UpstreamEnd how, bool isReusable)
--- a/net/httpupstream.h
+++ b/net/httpupstream.h
@@ -26,7 +26,6 @@
     Complete,
     NotSent, ///< No byte of the request left this process.
     Broken, ///< The connection ended or fell silent after bytes had been sent.
-    Unanswered, ///< A kept connection ended before a byte of the response; the server may have received the request.
     Malformed, ///< What came back is no HTTP response.
 };
 
--- a/serving/dispatcher.cpp
+++ b/serving/dispatcher.cpp
@@ -338,10 +338,10 @@
         if (how == UpstreamEnd::Complete) {
             complete(*active);
         } else {
-            onResponseInterrupted(*active, how);
+            onResponseInterrupted(*active);
         }
     } else if (active->outcome == AttemptOutcome::None || active->outcome == AttemptOutcome::Failed) {
-        onResponseLost(*active, how);
+        onResponseLost(*active);
     } else {
         onNotExecuted(*active);
     }
@@ -373,18 +373,16 @@
     retryOrRefuse(active, true, RefusalCode::Overloaded, "the replica refused the request without executing it");
 }
 
-bool Dispatcher::recordPossibleRun(ActiveRequest &active, UpstreamEnd how)
+bool Dispatcher::recordPossibleRun(ActiveRequest &active)
 {
-    if (how != UpstreamEnd::Unanswered) {
-        m_context.backends.onFailure(active.replica, false, m_context.clock.now());
-    }
+    m_context.backends.onFailure(active.replica, false, m_context.clock.now());
     active.mayHaveRunOn.insert(active.replica);
     return static_cast<int>(active.mayHaveRunOn.size()) < active.maxReplicas;
 }
 
-void Dispatcher::onResponseInterrupted(ActiveRequest &active, UpstreamEnd how)
+void Dispatcher::onResponseInterrupted(ActiveRequest &active)
 {
-    if (!recordPossibleRun(active, how) || !active.isResumable) {
+    if (!recordPossibleRun(active) || !active.isResumable) {
         abortResponse(active, "the replica interrupted its response");
         return;
     }
@@ -394,9 +392,9 @@
                   "the stream is resumed after event " + active.events.lastId());
 }
 
-void Dispatcher::onResponseLost(ActiveRequest &active, UpstreamEnd how)
+void Dispatcher::onResponseLost(ActiveRequest &active)
 {
-    if (recordPossibleRun(active, how) && active.isRetryable()) {
+    if (recordPossibleRun(active) && active.isRetryable()) {
         retryOrRefuse(active, true, RefusalCode::OutcomeUnknown,
                       active.outcome == AttemptOutcome::Failed ? "the replica failed the request"
                                                                : "the replica's answer was lost");
--- a/serving/dispatcher.h
+++ b/serving/dispatcher.h
@@ -150,14 +150,13 @@
     /**
      * Records that the replica may have executed the request without a usable response.
      *
-     * @param how the attempt ended; a kept connection that ends unused is no failure of the replica.
      * @return whether the route allows an attempt at another replica.
      */
-    bool recordPossibleRun(ActiveRequest &active, UpstreamEnd how);
+    bool recordPossibleRun(ActiveRequest &active);
     /** The response broke off after its start was forwarded. */
-    void onResponseInterrupted(ActiveRequest &active, UpstreamEnd how);
+    void onResponseInterrupted(ActiveRequest &active);
     /** The attempt ended without a usable response and may have been executed. */
-    void onResponseLost(ActiveRequest &active, UpstreamEnd how);
+    void onResponseLost(ActiveRequest &active);
     /** Finishes the response to the caller. */
     void complete(ActiveRequest &active);
     /**
