Review case 3: a repeated order is taken for accepted

A repetition that can't be sent hides that the order's first sending is outstanding, and a repetition's conflict counts as acceptance, so the owner believes in adapters that aren't there; its check then loads one too many.

--- a/review/standin/standin.cpp
+++ b/review/standin/standin.cpp
@@ -29,6 +29,7 @@
 
 constexpr size_t readPiece = 65536;
 constexpr size_t listPage = 500;
+constexpr size_t adapterSlots = 13;
 constexpr int backlog = 1024;
 constexpr int64_t longTimeoutMs = 60000;
 constexpr rlim_t hostDescriptors = 4100; // max_fds of the sites
@@ -295,18 +296,9 @@
     }
 }
 
-Server::Server(Handler handler)
-    : m_handler(std::move(handler)), m_descriptor(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+Server::Server(Handler handler) : m_handler(std::move(handler))
 {
-    const sockaddr_in address = loopback(0);
-    if (bind(m_descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0
-        || listen(m_descriptor, backlog) != 0) {
-        std::exit(couldNotRun);
-    }
-    m_port = portOf(m_descriptor);
-    m_acceptor = std::thread([this] {
-        accept();
-    });
+    listen();
 }
 
 Server::~Server()
@@ -316,14 +308,26 @@
     for (std::thread &thread : m_threads) {
         thread.join();
     }
-    close(m_descriptor);
 }
 
-void Server::end()
+void Server::listen()
 {
-    if (m_isEnded.exchange(true)) {
-        return;
+    m_descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int on = 1;
+    setsockopt(m_descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    const sockaddr_in address = loopback(m_port);
+    if (bind(m_descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0
+        || ::listen(m_descriptor, backlog) != 0) {
+        std::exit(couldNotRun);
     }
+    m_port = portOf(m_descriptor);
+    m_acceptor = std::thread([this, listener = m_descriptor] {
+        accept(listener);
+    });
+}
+
+void Server::resetAll()
+{
     shutdown(m_descriptor, SHUT_RDWR);
     const std::lock_guard<std::mutex> lock(m_mutex);
     for (const int descriptor : m_open) {
@@ -333,23 +337,44 @@
     }
 }
 
-void Server::accept()
+void Server::end()
 {
-    while (!m_isEnded) {
-        const int descriptor = ::accept4(m_descriptor, nullptr, nullptr, SOCK_CLOEXEC);
+    if (!m_isEnded.exchange(true)) {
+        resetAll();
+    }
+}
+
+void Server::cut()
+{
+    m_isCut = true;
+    resetAll();
+}
+
+void Server::restore()
+{
+    m_acceptor.join();
+    m_isCut = false;
+    listen();
+}
+
+void Server::accept(int listener)
+{
+    while (!m_isEnded && !m_isCut) {
+        const int descriptor = ::accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
         if (descriptor < 0) {
             continue;
         }
         const std::lock_guard<std::mutex> lock(m_mutex);
-        if (m_isEnded) {
+        if (m_isEnded || m_isCut) {
             close(descriptor);
-            return;
+            break;
         }
         m_open.insert(descriptor);
         m_threads.emplace_back([this, descriptor] {
             serve(descriptor);
         });
     }
+    close(listener);
 }
 
 void Server::serve(int descriptor)
@@ -551,6 +576,31 @@
     m_store.put("servers", m_id, entry.dump());
 }
 
+void Replica::setAdapters(std::set<std::string> adapters)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_adapters = std::move(adapters);
+    publish("ready");
+}
+
+void Replica::loadLate(const std::string &adapter, int64_t precondition)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    const bool isValid = m_orders == precondition && m_adapters.count(adapter) == 0 && m_adapters.size() < adapterSlots;
+    m_record.line("replica " + m_id + (isValid ? " carries out late: load " : " doesn't carry out late: load ")
+                  + adapter);
+    if (isValid) {
+        ++m_orders;
+        m_adapters.insert(adapter);
+        publish("ready");
+    }
+}
+
+int64_t Replica::orderCount()
+{
+    return m_orders; // for hooks, which run under the lock
+}
+
 bool Replica::respond(Connection &connection, const Message &request, int status, const std::string &body,
                       const std::string &headers)
 {
@@ -566,6 +616,11 @@
     m_record.line("replica " + m_id + " order " + order.dump());
     const std::string adapter = order.value("adapter", std::string());
     const bool isLoad = order.value("opcode", std::string()) == "load";
+    if (m_orderHook) {
+        if (const std::optional<bool> isKept = m_orderHook(*this, adapter, isLoad)) {
+            return *isKept;
+        }
+    }
     if (order.contains("precondition") && order["precondition"].get<int64_t>() != m_orders) {
         return connection.write(jsonResponse(409, "{}"));
     }
@@ -573,6 +628,13 @@
     if (!holdsAlready) {
         ++m_orders;
         if (isLoad) {
+            m_isOverfull = m_isOverfull || m_adapters.size() >= adapterSlots;
+            if (m_isOverfull) {
+                m_record.line("replica " + m_id + " holds " + std::to_string(m_adapters.size())
+                              + " adapters and is ordered to load " + adapter + ": it crashes");
+                m_server->end();
+                return false;
+            }
             m_adapters.insert(adapter);
         } else {
             m_adapters.erase(adapter);
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -98,15 +98,21 @@
     }
     /** Stops listening and resets all connections, as the end of a process does. */
     void end();
+    /** Refuses and resets all connections, as a cut link does, until restore() is called. */
+    void cut();
+    void restore();
 
 private:
-    void accept();
+    void listen();
+    void accept(int listener);
     void serve(int descriptor);
+    void resetAll();
 
     Handler m_handler;
-    int m_descriptor;
+    int m_descriptor = -1;
     int m_port = 0;
     std::atomic<bool> m_isEnded {false};
+    std::atomic<bool> m_isCut {false};
     std::mutex m_mutex;
     std::set<int> m_open;
     std::thread m_acceptor;
@@ -168,11 +174,30 @@
 public:
     /** Answers a request that has begun to run. @return whether to keep the connection. */
     using Work = std::function<bool(Replica &, Connection &, const Message &)>;
+    /** Carries out an order in another way. @return whether to keep the connection; nothing for the usual way. */
+    using OrderHook = std::function<std::optional<bool>(Replica &, const std::string &adapter, bool isLoad)>;
 
     Replica(Store &store, Record &record, std::string id, std::string service, std::string zone, bool isEngine,
             Work work);
     /** Writes the entry in the store. */
     void publish(const std::string &state);
+    void setOrderHook(OrderHook hook)
+    {
+        m_orderHook = std::move(hook);
+    }
+    void setAdapters(std::set<std::string> adapters);
+    /** Loads an adapter if the count of orders is still @p precondition, as a late order does. */
+    void loadLate(const std::string &adapter, int64_t precondition);
+    int64_t orderCount();
+    /** @return whether a load was ordered for which there was no place. */
+    bool isOverfull() const
+    {
+        return m_isOverfull;
+    }
+    Server &server()
+    {
+        return *m_server;
+    }
     const std::string &id() const
     {
         return m_id;
@@ -205,6 +230,8 @@
     int64_t m_orders = 0;
     int64_t m_born;
     std::set<std::string> m_adapters {"a1", "a2"};
+    OrderHook m_orderHook;
+    std::atomic<bool> m_isOverfull {false};
     std::unique_ptr<Server> m_server;
 };
 
