--- a/core/eventcode.cpp
+++ b/core/eventcode.cpp
@@ -51,6 +51,7 @@
         {EventCode::CallerLeft, Severity::Info, "caller-left"},
         {EventCode::RequestResent, Severity::Info, "request-resent"},
         {EventCode::AttemptBroken, Severity::Info, "attempt-broken"},
+        {EventCode::AnswerUnbounded, Severity::Warning, "answer-unbounded"},
         {EventCode::MessageRejected, Severity::Warning, "message-rejected"},
         {EventCode::LinesDropped, Severity::Warning, "lines-dropped"},
     };
--- a/core/eventcode.h
+++ b/core/eventcode.h
@@ -52,6 +52,7 @@
     CallerLeft = 506,
     RequestResent = 507,
     AttemptBroken = 508,
+    AnswerUnbounded = 509,
     MessageRejected = 600,
     LinesDropped = 601,
 };
--- a/core/eventcutter.cpp
+++ b/core/eventcutter.cpp
@@ -9,6 +9,7 @@
 {
 
 constexpr std::string_view idField = "id:";
+constexpr size_t maxIdBytes = 1024; // it is sent on in a header field
 
 }
 
@@ -33,6 +34,7 @@
 void EventCutter::discardIncomplete()
 {
     m_incomplete.clear();
+    m_incomplete.shrink_to_fit();
     m_scanner = {};
 }
 
@@ -47,7 +49,10 @@
             if (!line.empty() && line.front() == ' ') {
                 line.remove_prefix(1);
             }
-            m_lastId = line;
+            m_isResumable = line.size() <= maxIdBytes;
+            if (m_isResumable) {
+                m_lastId = line;
+            }
         }
     }
 }
--- a/core/eventcutter.h
+++ b/core/eventcutter.h
@@ -26,13 +26,23 @@
     std::string append(std::string_view data);
     /** Ends the stream. @return the bytes after the last complete event. */
     std::string takeIncomplete();
-    /** Discards the bytes after the last complete event. */
+    /** @return number of bytes after the last complete event. */
+    size_t incompleteBytes() const
+    {
+        return m_incomplete.size();
+    }
+    /** Discards the bytes after the last complete event, and their memory. */
     void discardIncomplete();
     /** @return the id of the last complete event that had one; empty if none did. */
     const std::string &lastId() const
     {
         return m_lastId;
     }
+    /** @return whether the last event's id can be sent to another server, so that the stream can go on there. */
+    bool isResumable() const
+    {
+        return m_isResumable;
+    }
 
 private:
     void updateLastId(std::string_view events);
@@ -40,6 +50,7 @@
     EventScanner m_scanner;
     std::string m_incomplete;
     std::string m_lastId;
+    bool m_isResumable = true;
 };
 
 }
--- a/net/httphead.h
+++ b/net/httphead.h
@@ -27,6 +27,12 @@
     bool hasLength = false; ///< Whether the body's length is declared.
     uint64_t length = 0; ///< Bytes of the body, if declared.
     bool endsWithConnection = false; ///< Whether the body has neither a length nor chunks.
+
+    /** @return whether the status of a response says that the request succeeded. */
+    bool isSuccess() const
+    {
+        return status >= 200 && status < 300;
+    }
 };
 
 /** @return whether two header names are the same; case doesn't matter. */
--- a/serving/activerequest.cpp
+++ b/serving/activerequest.cpp
@@ -3,6 +3,7 @@
 #include "core/hash.h"
 #include "net/httphead.h"
 #include "serving/admission.h"
+#include "serving/attemptsender.h"
 
 #include <algorithm>
 
@@ -32,6 +33,14 @@
 
 }
 
+AttemptOutcome reasonNotExecuted(const AttemptHead &head, bool isEngine)
+{
+    if (head.isWrongServer) {
+        return AttemptOutcome::OtherServer;
+    }
+    return isEngine && head.isMisdirected ? AttemptOutcome::AdapterMissing : AttemptOutcome::NotExecuted;
+}
+
 bool ActiveRequest::hasProgressed(Millis now) const
 {
     return attemptAnsweredAt.value >= 0 && now - attemptAnsweredAt >= startTime && progress.count() >= startEvents;
--- a/serving/activerequest.h
+++ b/serving/activerequest.h
@@ -17,6 +17,7 @@
 {
 
 struct Admitted;
+struct AttemptHead;
 
 /** What the replica has reported about the current attempt. */
 enum class AttemptOutcome
@@ -28,6 +29,9 @@
     Failed, ///< It executed the request and failed; the response is not forwarded.
 };
 
+/** @return the reason why a replica did not execute a request. @param isEngine whether it is an engine. */
+AttemptOutcome reasonNotExecuted(const AttemptHead &head, bool isEngine);
+
 /** An admitted request, waiting or being executed, until its final response. */
 struct ActiveRequest
 {
--- a/serving/dispatcher.cpp
+++ b/serving/dispatcher.cpp
@@ -27,18 +27,9 @@
 constexpr Millis retryPause(25); // before a request is sent again to a replica that refused it
 constexpr Millis overloadRetry(300); // about the time in which a batch completes a few of its requests
 constexpr Millis noReplicaRetry(1000);
+constexpr size_t maxEventBytes = 1024UL * 1024; // of a resumable stream; events hold a few tokens
+constexpr size_t maxIncompleteBytes = 16UL * 1024 * 1024; // of all streams together, a tenth of a small host's memory
 constexpr int firstServerError = 500;
-constexpr int firstRedirect = 300;
-constexpr int firstSuccess = 200;
-
-/** @return the reason why a replica did not execute a request. */
-AttemptOutcome outcomeOf(const AttemptHead &head, bool isEngine)
-{
-    if (head.isWrongServer) {
-        return AttemptOutcome::OtherServer;
-    }
-    return isEngine && head.isMisdirected ? AttemptOutcome::AdapterMissing : AttemptOutcome::NotExecuted;
-}
 
 }
 
@@ -46,6 +37,7 @@
     : m_context(std::move(context))
     , m_services(m_context.backends, m_context.domain)
     , m_tracker(m_context.clock, m_context.backends, m_context.chooser, m_context.prompts, m_context.log)
+    , m_incompleteEvents(maxEventBytes, maxIncompleteBytes)
 {
 }
 
@@ -241,13 +233,7 @@
 
 void Dispatcher::refuseUnanswered()
 {
-    std::vector<uint64_t> unanswered;
-    for (const auto &[exchange, active] : m_requests.all()) {
-        if (!active->isResponding()) {
-            unanswered.push_back(exchange);
-        }
-    }
-    for (const uint64_t exchange : unanswered) {
+    for (const uint64_t exchange : m_requests.unanswered()) {
         ActiveRequest &active = *m_requests.find(exchange);
         const bool isSent = active.attempt != 0;
         refuse(active,
@@ -294,14 +280,13 @@
     }
     m_tracker.onAlive(*active);
     if (head.wasNotExecuted) {
-        active->outcome = outcomeOf(head, active->isEngine);
+        active->outcome = reasonNotExecuted(head, active->isEngine);
         return;
     }
-    const bool isSuccess = head.head.status >= firstSuccess && head.head.status < firstRedirect;
+    const bool isSuccess = head.head.isSuccess();
     if (!head.isSigned) {
         // A working replica signs its responses. This one is dropped, and the attempt may have been executed.
-        m_context.attempts.cancel(attempt);
-        onAttemptEnd(attempt, UpstreamEnd::Malformed);
+        breakOff(*active);
         return;
     }
     const bool mayRetry
@@ -335,10 +320,29 @@
         m_context.callers.append(active->request.exchange, data);
         return;
     }
+    const uint64_t exchange = active->request.exchange;
     const std::string events = active->events.append(data);
+    m_incompleteEvents.update(exchange, active->events.incompleteBytes());
     if (!events.empty()) {
-        m_context.callers.append(active->request.exchange, events);
+        m_context.callers.append(exchange, events); // may end the request
     }
+    limitIncompleteEvents();
+}
+
+void Dispatcher::limitIncompleteEvents()
+{
+    while (const std::optional<uint64_t> exchange = m_incompleteEvents.findExcess()) {
+        ActiveRequest &excessive = *m_requests.find(*exchange);
+        m_context.log.onUnbounded(excessive, excessive.events.incompleteBytes(), m_context.clock.now());
+        breakOff(excessive);
+    }
+}
+
+void Dispatcher::breakOff(ActiveRequest &active)
+{
+    const uint64_t attempt = active.attempt;
+    m_context.attempts.cancel(attempt);
+    onAttemptEnd(attempt, UpstreamEnd::Malformed);
 }
 
 void Dispatcher::onAttemptEnd(uint64_t attempt, UpstreamEnd how)
@@ -401,11 +405,13 @@
 
 void Dispatcher::onResponseInterrupted(ActiveRequest &active)
 {
-    if (!recordPossibleRun(active) || !active.isResumable || m_context.prompts.isSuspect(active.request)) {
+    if (!recordPossibleRun(active) || !active.isResumable || !active.events.isResumable()
+        || m_context.prompts.isSuspect(active.request)) {
         abortResponse(active, "the replica interrupted its response");
         return;
     }
     active.events.discardIncomplete();
+    m_incompleteEvents.update(active.request.exchange, 0);
     active.waitDeadline = std::min(m_context.clock.now() + resumeWait, active.deadline);
     retryOrRefuse(active, true, RefusalCode::OutcomeUnknown,
                   "the stream is resumed after event " + active.events.lastId());
@@ -441,8 +447,7 @@
     m_tracker.onCompleted(active);
     m_context.log.onServed(active, m_context.clock.now());
     m_stopGate.onServed(active, m_context.clock.now());
-    const std::string rest = active.events.takeIncomplete();
-    if (!rest.empty()) {
+    if (const std::string rest = active.events.takeIncomplete(); !rest.empty()) {
         m_context.callers.append(active.request.exchange, rest);
     }
     m_context.callers.finish(active.request.exchange);
@@ -481,6 +486,7 @@
         m_tracker.onReleased(active);
         m_requests.endAttempt(active);
     }
+    m_incompleteEvents.update(active.request.exchange, 0);
     m_waiting.erase(active);
     m_requests.erase(active);
 }
--- a/serving/dispatcher.h
+++ b/serving/dispatcher.h
@@ -4,6 +4,7 @@
 #include "core/refusal.h"
 #include "core/units.h"
 #include "net/httpupstream.h"
+#include "policy/buffershares.h"
 #include "policy/poolretrybudgets.h"
 #include "serving/activerequest.h"
 #include "serving/adapterdemand.h"
@@ -171,6 +172,10 @@
     std::optional<Refusal> checkAccepted(const ClientRequest &request, const Admitted &admitted) const;
     /** @return why a request must not be sent because of a part of its prompt, or nothing. */
     std::optional<Refusal> checkPrompt(const ClientRequest &request) const;
+    /** Breaks off attempts until what streams keep of incomplete events is within the limits. */
+    void limitIncompleteEvents();
+    /** Closes the connection of an attempt whose response can't be used. */
+    void breakOff(ActiveRequest &active);
     /** Ends a request at a replica that is about to crash on it. */
     void withdraw(ActiveRequest &active);
     /** Refuses all requests that have no response yet, as the process is about to end. */
@@ -187,6 +192,7 @@
     WaitingQueue m_waiting;
     PoolRetryBudgets m_retryBudgets;
     AdapterDemand m_adapterDemand;
+    BufferShares m_incompleteEvents;
     StopGate m_stopGate;
 };
 
--- a/serving/requestlog.cpp
+++ b/serving/requestlog.cpp
@@ -150,6 +150,16 @@
     }
 }
 
+void RequestLog::onUnbounded(const ActiveRequest &active, size_t bytes, Millis now)
+{
+    if (allowLine(EventCode::AnswerUnbounded, {}, now)) {
+        m_log.record(EventCode::AnswerUnbounded, active.request.id.text(),
+                     "pool=" + active.pool.text() + " replica=" + active.replica.text()
+                         + " attempt=" + std::to_string(active.attemptCount) + " kept_bytes=" + std::to_string(bytes)
+                         + " events=" + std::to_string(active.progress.count()));
+    }
+}
+
 void RequestLog::onCallerLeft(const ActiveRequest &active, Millis now)
 {
     m_metrics.onCallerLeft(active);
--- a/serving/requestlog.h
+++ b/serving/requestlog.h
@@ -43,6 +43,8 @@
     void onResent(const ActiveRequest &active, const RetryBudgetState &budget, Millis now);
     /** An attempt's connection ended before its response was complete. */
     void onAttemptBroken(const ActiveRequest &active, Millis now);
+    /** A replica's response went beyond a limit. @param bytes that the request kept. */
+    void onUnbounded(const ActiveRequest &active, size_t bytes, Millis now);
     /** The caller disconnected before its response was complete. */
     void onCallerLeft(const ActiveRequest &active, Millis now);
 
--- a/serving/requesttable.cpp
+++ b/serving/requesttable.cpp
@@ -46,6 +46,17 @@
     return exchange == m_exchangeByAttempt.end() ? nullptr : find(exchange->second);
 }
 
+std::vector<uint64_t> RequestTable::unanswered() const
+{
+    std::vector<uint64_t> exchanges;
+    for (const auto &[exchange, active] : m_active) {
+        if (!active->isResponding()) {
+            exchanges.push_back(exchange);
+        }
+    }
+    return exchanges;
+}
+
 std::map<ReplicaId, std::map<std::string, AdapterUse>> RequestTable::adapterUses() const
 {
     std::map<ReplicaId, std::map<std::string, AdapterUse>> uses;
--- a/serving/requesttable.h
+++ b/serving/requesttable.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace vanillaspar
 {
@@ -40,6 +41,8 @@
     {
         return m_active;
     }
+    /** @return the requests of which no response was begun, by exchange. */
+    std::vector<uint64_t> unanswered() const;
     /** @return the numbers of requests at engines, by replica and weights. */
     std::map<ReplicaId, std::map<std::string, AdapterUse>> adapterUses() const;
 
