--- a/serving/replicaorders.cpp
+++ b/serving/replicaorders.cpp
@@ -228,9 +228,7 @@
                 m_onIdle();
                 return;
             }
-            // A load that was repeated and now conflicts was accepted the first time, which raised the count.
-            const bool wasAccepted = result == OrderResult::Conflict && repeats > 0 && isLoad;
-            handler(wasAccepted ? OrderResult::Accepted : result);
+            handler(result);
         }));
 }
 
