Keep a slot usable whose unload could not be sent

Callers saw: after lossy links, waits for adapters at a replica that took no load any more until it restarted.

Cause: orderUnload takes an adapter out of use before it sends; when nothing left, the adapter stayed so: never used, never unloaded again. When this had met all slots of a replica, it ordered nothing and fetched no report. A repetition that couldn't be sent also made an unload look "not sent" whose first sending may still be carried out.

Change: an unload that was not sent puts its adapter back into use. A repetition that is not sent is sent again, with the same count, up to the number of repetitions; then the result is unknown and the report is fetched. What hosts report to use is a class of its own (AdapterUsage).

--- a/serving/replicaorders.cpp
+++ b/serving/replicaorders.cpp
@@ -23,7 +23,6 @@
 constexpr int maxOrderRepeats = 3; // then the replica is asked what it holds
 // Told to other hosts beyond the expected end of a load, in case the report that it is complete is lost.
 constexpr Millis confirmationAllowance(400);
-constexpr Millis useReportLifetime(700); // reports are sent five times a second; some are lost
 // An adapter isn't evicted right after a load, so that the requests that waited for it can use it.
 constexpr Millis minResidency(150);
 constexpr Millis reportInterval(1000);
@@ -60,11 +59,8 @@
 
 void ReplicaOrders::onUseReport(const HostId &host, const AdapterUseReport &report, Millis now)
 {
-    HostUsage &use = m_usages[host];
-    use.at = now;
-    use.running.clear();
+    m_usage.onReport(host, report, now);
     for (const AdapterUse &adapterUse : report.uses) {
-        use.running[adapterUse.weights] = adapterUse.running;
         const auto slot = m_slots.find(adapterUse.weights);
         if (slot != m_slots.end()) {
             slot->second.usedAt = now;
@@ -72,18 +68,6 @@
     }
 }
 
-int64_t ReplicaOrders::runningOf(const std::string &weights, Millis now) const
-{
-    int64_t running = 0;
-    for (const auto &[host, use] : m_usages) {
-        const auto entry = use.running.find(weights);
-        if (entry != use.running.end() && now - use.at < useReportLifetime) {
-            running += entry->second;
-        }
-    }
-    return running;
-}
-
 int64_t ReplicaOrders::loadsInProgress() const
 {
     return std::count_if(m_slots.begin(), m_slots.end(), [](const auto &entry) {
@@ -104,7 +88,7 @@
         return false;
     }
     if (m_unanswered) {
-        repeatOrder(context);
+        repeatOrder(context, now);
         return false;
     }
     if (!m_acceptedOrders) {
@@ -144,14 +128,14 @@
         return false;
     }
     const ModelSpec &model = context.engine.models.front();
-    const Millis loadTime = model.loadTime;
-    sendOrder(context, true, model.name, [this, now, loadTime](OrderResult result) {
+    const ResultHandler handler = [this, readyAt = now + model.loadTime, now](OrderResult result) {
         if (applyResult(result, now) && result == OrderResult::Accepted) {
             m_isLoadingModel = true;
             m_acceptedOrders.reset();
-            m_nextOrderAt = now + loadTime + modelReportLag;
+            m_nextOrderAt = readyAt + modelReportLag;
         }
-    });
+    };
+    sendOrder(context, {true, model.name, handler}, now);
     m_log.record(EventCode::ModelOrdered, m_replica.text(), "load " + model.name);
     return true;
 }
@@ -208,7 +192,7 @@
     Millis leastUsed;
     for (const auto &[weights, slot] : m_slots) {
         const bool isIdle = !slot.isUnloading && slot.isReady && slot.readyAt + minResidency <= now
-            && runningOf(weights, now) == 0 && !m_pendingLoads.contains(weights);
+            && m_usage.running(weights, now) == 0 && !m_pendingLoads.contains(weights);
         if (isIdle && (candidate == nullptr || slot.usedAt < leastUsed)) {
             candidate = &weights;
             leastUsed = slot.usedAt;
@@ -217,25 +201,30 @@
     return candidate;
 }
 
-void ReplicaOrders::sendOrder(const OrderContext &context, bool isLoad, const std::string &weights,
-                              ResultHandler handler, int repeats)
+void ReplicaOrders::sendOrder(const OrderContext &context, const RepeatableOrder &order, Millis now)
 {
-    m_orderPort.sendOrder(
-        context.backend, {isLoad, weights, context.host, context.fencingNumber, m_acceptedOrders},
-        markBusy<OrderResult>([this, isLoad, weights, handler = std::move(handler), repeats](OrderResult result) {
-            if (result == OrderResult::Unknown && repeats < maxOrderRepeats) {
-                m_unanswered = UnansweredOrder {isLoad, weights, handler, repeats + 1};
-                m_onIdle();
-                return;
-            }
-            handler(result);
-        }));
+    m_orderPort.sendOrder(context.backend,
+                          {order.isLoad, order.weights, context.host, context.fencingNumber, m_acceptedOrders},
+                          markBusy<OrderResult>([this, order, now](OrderResult result) {
+                              // A repetition that could not be sent leaves open whether the order before it is carried
+                              // out.
+                              const bool isOutstanding = result == OrderResult::Unknown
+                                  || (result == OrderResult::NotSent && order.repeats > 0);
+                              if (!isOutstanding || order.repeats >= maxOrderRepeats) {
+                                  order.handler(isOutstanding ? OrderResult::Unknown : result);
+                                  return;
+                              }
+                              m_unanswered = order;
+                              ++m_unanswered->repeats;
+                              m_nextOrderAt = result == OrderResult::NotSent ? now + notSentDelay : m_nextOrderAt;
+                              m_onIdle();
+                          }));
 }
 
-void ReplicaOrders::repeatOrder(const OrderContext &context)
+void ReplicaOrders::repeatOrder(const OrderContext &context, Millis now)
 {
-    const UnansweredOrder order = *std::exchange(m_unanswered, std::nullopt);
-    sendOrder(context, order.isLoad, order.weights, order.handler, order.repeats);
+    const RepeatableOrder order = *std::exchange(m_unanswered, std::nullopt);
+    sendOrder(context, order, now);
 }
 
 template<class Answer>
@@ -263,11 +252,12 @@
 {
     const int64_t version = context.versions.newestVersion(weights);
     m_isStartingTransfer = m_slots.count(weights) > 0 || !m_recentlyLoaded.contains(weights);
-    sendOrder(context, true, weights, [this, weights, version, now](OrderResult result) {
+    const ResultHandler handler = [this, weights, version, now](OrderResult result) {
         m_isStartingTransfer = false;
         onLoadResult(result, weights, version, now);
         m_onIdle();
-    });
+    };
+    sendOrder(context, {true, weights, handler}, now);
 }
 
 void ReplicaOrders::onLoadResult(OrderResult result, const std::string &weights, int64_t version, Millis now)
@@ -362,16 +352,18 @@
 {
     m_slots[weights].isUnloading = true; // excluded from reports, so that no request is routed to it during the order
     m_isReportDue = true;
-    sendOrder(context, false, weights, [this, weights, now](OrderResult result) {
+    const ResultHandler handler = [this, weights, now](OrderResult result) {
         onUnloadResult(result, weights, now);
         m_onIdle();
-    });
+    };
+    sendOrder(context, {false, weights, handler}, now);
 }
 
 void ReplicaOrders::onUnloadResult(OrderResult result, const std::string &weights, Millis now)
 {
     m_isReportDue = true;
     if (!applyResult(result, now)) {
+        m_slots[weights].isUnloading = result != OrderResult::NotSent; // until the report if it may be carried out
         return;
     }
     if (result == OrderResult::Completed) {
@@ -468,8 +460,7 @@
 
 Millis ReplicaOrders::timeToConfirmation(const Slot &slot, Millis now) const
 {
-    const Millis left = slot.orderedAt + m_transferPacer.expected() - now;
-    return std::max(left, Millis(0)) + confirmationAllowance;
+    return std::max(slot.orderedAt + m_transferPacer.expected() - now, Millis(0)) + confirmationAllowance;
 }
 
 std::optional<ResidencyReport> ReplicaOrders::takeReport(const Backend &backend, const HostId &owner, Millis now)
--- a/serving/replicaorders.h
+++ b/serving/replicaorders.h
@@ -4,6 +4,7 @@
 #include "core/ids.h"
 #include "core/recentnames.h"
 #include "core/units.h"
+#include "serving/adapterusage.h"
 #include "serving/orderport.h"
 #include "serving/pendingloads.h"
 #include "serving/servingconfig.h"
@@ -135,29 +136,20 @@
         Millis incompleteAt {0}; ///< Age of the load when the replica last stated that it isn't complete.
         bool isChecking = false; ///< Whether the replica has been asked and didn't respond yet.
     };
-    /** What one host last reported to use in the replica. */
-    struct HostUsage
-    {
-        std::map<std::string, int64_t> running; ///< Running requests by adapter.
-        Millis at; ///< Arrival of the report.
-    };
-
     using ResultHandler = std::function<void(OrderResult)>;
 
-    /** An order to which the replica did not respond. */
-    struct UnansweredOrder
+    /** An order that is sent, and again if the replica does not respond. */
+    struct RepeatableOrder
     {
         bool isLoad = true;
         std::string weights;
-        ResultHandler handler; ///< Receives the result of the repeated order.
+        ResultHandler handler; ///< Gets the result once the replica responds or no repetition is left.
         int repeats = 0;
     };
 
-    /** Sends an order; @p handler gets its result once the replica responds or no repetition is left. */
-    void sendOrder(const OrderContext &context, bool isLoad, const std::string &weights, ResultHandler handler,
-                   int repeats = 0);
+    void sendOrder(const OrderContext &context, const RepeatableOrder &order, Millis now);
     /** Sends the unanswered order again. */
-    void repeatOrder(const OrderContext &context);
+    void repeatOrder(const OrderContext &context, Millis now);
     /** Asks the replica whether a load is complete, by repeating its order. */
     void checkLoad(const OrderContext &context, const std::string &weights, Millis now);
     void checkDueLoads(const OrderContext &context, Millis now);
@@ -196,7 +188,6 @@
     const std::string *choosePendingLoad(const OrderContext &context) const;
     const std::string *chooseOutdated(const OrderContext &context) const;
     const std::string *chooseEvictionCandidate(Millis now) const;
-    int64_t runningOf(const std::string &weights, Millis now) const;
     int64_t loadsInProgress() const;
 
     ReplicaId m_replica;
@@ -205,11 +196,11 @@
     TransferPacer &m_transferPacer;
     std::optional<int64_t> m_acceptedOrders; ///< By the replica; unset while the replica's state is unknown.
     int64_t m_leastAcceptedOrders = 0; ///< A report with a lower count is older than the last known order.
-    std::optional<UnansweredOrder> m_unanswered;
+    std::optional<RepeatableOrder> m_unanswered;
     std::map<std::string, Slot> m_slots;
     std::vector<std::string> m_models; ///< Resident base models.
     PendingLoads m_pendingLoads;
-    std::map<HostId, HostUsage> m_usages;
+    AdapterUsage m_usage;
     RecentNames m_recentlyLoaded {recentlyLoadedCount}; ///< Adapters that load from the replica's own memory.
     /** Replaced by reset(), so that responses to earlier calls are recognized and ignored. */
     std::shared_ptr<bool> m_incarnation = std::make_shared<bool>(true);
--- a/tests/serving/lateorderstest.cpp
+++ b/tests/serving/lateorderstest.cpp
@@ -99,6 +99,36 @@
     RecordProperty("reports", static_cast<int>(m_engine.reportCount()));
 }
 
+// Orders are lost only in the first half; afterwards each adapter that is asked for is ready soon.
+TEST_P(LateOrdersTest, AfterTheTroubleAdaptersAreLoadedInTime)
+{
+    takeOver();
+    const Millis troubleEnd = m_now + Millis(30000);
+    while (m_now < troubleEnd) {
+        if (m_random.below(10) == 0) {
+            requestAdapter();
+        }
+        advance();
+    }
+    m_engine.endTrouble();
+    for (Millis waited(0); waited < Millis(13000); waited += step) {
+        advance(); // the last late orders arrive
+    }
+    const int64_t probes = m_engine.reportCount();
+    constexpr int loads = 20;
+    for (int i = 0; i < loads; ++i) {
+        const std::string weights = "m/b" + std::to_string(i);
+        Millis waited(0);
+        while (!m_engine.isReady(weights) && waited < Millis(1000)) {
+            m_orders->onAdapterRequest({ReplicaId("r"), weights, 0, 1, false}, m_now);
+            advance();
+            waited += step;
+        }
+        EXPECT_LT(waited, Millis(1000)) << weights;
+    }
+    EXPECT_LE(m_engine.reportCount() - probes, 1) << "without trouble no probe is needed";
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, LateOrdersTest, testing::Range<uint64_t>(1, 61));
 
 }
--- a/tests/serving/replicaorderstest.cpp
+++ b/tests/serving/replicaorderstest.cpp
@@ -332,6 +332,43 @@
     EXPECT_EQ(m_orderPort.orders[0].order.weights, "m/a3");
 }
 
+// An adapter whose unload could not be sent was neither used nor unloaded again, and its slot was lost.
+TEST_F(ReplicaOrdersTest, AnAdapterWhoseUnloadWasNotSentStaysInUse)
+{
+    advance(1000);
+    request("m/a4");
+    step();
+    ASSERT_EQ(m_orderPort.orders.size(), 1U);
+    const std::string weights = m_orderPort.orders[0].order.weights;
+    EXPECT_FALSE(isReported(weights));
+    m_orderPort.answer(OrderResult::NotSent);
+    EXPECT_TRUE(isReported(weights));
+    advance(200);
+    request("m/a4");
+    step();
+    ASSERT_EQ(m_orderPort.orders.size(), 1U);
+    EXPECT_EQ(m_orderPort.orders[0].order.weights, weights);
+}
+
+// After an order without answer, a repetition that can't be sent doesn't tell that nothing is carried out.
+TEST_F(ReplicaOrdersTest, AnUnloadWithoutAnswerWhoseRepetitionIsNotSentIsRepeatedAgain)
+{
+    advance(1000);
+    request("m/a4");
+    step();
+    ASSERT_EQ(m_orderPort.orders.size(), 1U);
+    const EngineOrder first = m_orderPort.orders[0].order;
+    m_orderPort.answer(OrderResult::Unknown);
+    step();
+    m_orderPort.answer(OrderResult::NotSent);
+    EXPECT_FALSE(isReported(first.weights));
+    advance(200);
+    step();
+    ASSERT_EQ(m_orderPort.orders.size(), 1U);
+    EXPECT_EQ(m_orderPort.orders[0].order.weights, first.weights);
+    EXPECT_EQ(m_orderPort.orders[0].order.expectedOrderCount, first.expectedOrderCount);
+}
+
 TEST_F(ReplicaOrdersTest, ANewVersionReplacesTheOldOne)
 {
     advance(1000);
