Don't count an order that a replica already holds

Callers saw: on 4 of 3,000 seeds of LateOrdersTest a replica was still ordered to load a 14th adapter and crashed; on others it got no order any more.

Cause, by a trace of seed 1386: the replica had fetched a new version before its owner heard of it. The owner ordered the replacement, the replica answered that it holds and did not count it, and the owner's count became one too high (544, 543 in truth). Reports with the true count were taken for old, and an order that expected 544 was carried out late, in another state. The base model's load had the same gap.

Ruled out: the repetitions (none of these orders was repeated), takeovers (seed 1386 has none near).

Change: after a replacement or a base model that holds already, the count is read from the report.

The four seeds and two tests of the cause failed before.

--- a/serving/replicaorders.cpp
+++ b/serving/replicaorders.cpp
@@ -129,9 +129,12 @@
     }
     const ModelSpec &model = context.engine.models.front();
     const ResultHandler handler = [this, readyAt = now + model.loadTime, now](OrderResult result) {
-        if (applyResult(result, now) && result == OrderResult::Accepted) {
+        if (!applyResult(result, now)) {
+            return;
+        }
+        m_acceptedOrders.reset(); // the report tells whether it was loaded already
+        if (result == OrderResult::Accepted) {
             m_isLoadingModel = true;
-            m_acceptedOrders.reset();
             m_nextOrderAt = readyAt + modelReportLag;
         }
     };
@@ -266,6 +269,9 @@
         return;
     }
     const bool isReplacement = m_slots.count(weights) > 0;
+    if (isReplacement && result == OrderResult::Completed) {
+        m_acceptedOrders.reset(); // the replica already had this version, and perhaps didn't count the order
+    }
     Slot slot;
     slot.version = version;
     slot.orderedAt = now;
--- a/tests/serving/lateorderstest.cpp
+++ b/tests/serving/lateorderstest.cpp
@@ -129,6 +129,8 @@
     EXPECT_LE(m_engine.reportCount() - probes, 1) << "without trouble no probe is needed";
 }
 
+// On these an order that the replica already held was counted, and a late order met the wrong adapters.
+INSTANTIATE_TEST_SUITE_P(OrdersThatAlreadyHold, LateOrdersTest, testing::Values<uint64_t>(1386, 2147, 2484, 2806));
 INSTANTIATE_TEST_SUITE_P(Seeds, LateOrdersTest, testing::Range<uint64_t>(1, 61));
 
 }
--- a/tests/serving/replicaorderstest.cpp
+++ b/tests/serving/replicaorderstest.cpp
@@ -385,6 +385,44 @@
     }
 }
 
+// The replica fetched the new version before its owner heard of it, and doesn't count an order that already holds.
+TEST_F(ReplicaOrdersTest, AReplacementThatAlreadyHoldsDoesNotRaiseTheCount)
+{
+    advance(1000);
+    m_versions.announce("m/a2", 2, m_now);
+    step();
+    ASSERT_EQ(m_orderPort.orders.size(), 1U);
+    m_orderPort.answer(OrderResult::Completed);
+    EXPECT_TRUE(isReported("m/a2"));
+    request("m/a4");
+    step();
+    EXPECT_TRUE(m_orderPort.orders.empty());
+    ASSERT_EQ(m_orderPort.reports.size(), 1U) << "only the report tells the count";
+    EngineResidency residency;
+    residency.models = {{"m", 1}};
+    residency.adapters = {{"m/a1", 1}, {"m/a2", 2}, {"m/a3", 1}};
+    residency.orderCount = 7;
+    m_orderPort.answerReport(residency);
+    advance(200); // adapters are kept for a moment after a report
+    request("m/a4");
+    step();
+    ASSERT_EQ(m_orderPort.orders.size(), 1U);
+    EXPECT_EQ(m_orderPort.orders[0].order.expectedOrderCount, 7);
+}
+
+TEST_F(ReplicaOrdersTest, AModelThatIsAlreadyThereDoesNotRaiseTheCount)
+{
+    m_orders->reset();
+    step();
+    m_orderPort.answerReport(EngineResidency());
+    step();
+    ASSERT_EQ(m_orderPort.orders.size(), 1U);
+    m_orderPort.answer(OrderResult::Completed);
+    step();
+    EXPECT_TRUE(m_orderPort.orders.empty());
+    EXPECT_EQ(m_orderPort.reports.size(), 1U);
+}
+
 TEST_F(ReplicaOrdersTest, AnswersAfterItsEndAreDropped)
 {
     // Guards against a use after free: a host that resumes from a suspension finds that it no longer owns the replica
