Stop reading a response that isn't forwarded after 64 KiB or 250 ms

Callers saw: a request that a replica had rejected, with a body without end or one that came slowly, was not sent elsewhere before its deadline passed; the bytes took the host's processor at the rate of the link.

Cause: once the head had said that nothing ran (or that the request failed), the attempt still waited for the end of the body, so that its connection could be used again, without a bound in bytes or time.

Also: a caller's connection that is dropped while the end of its stream is written ended the request under Dispatcher::complete, which went on with it; by reading, no run shows it.

Evidence: UnboundedStreamTest.ARejectionWhoseBodyHasNoEnd..., ARejectionWhoseBodyComesSlowly... failed before. The refusal of a blocked prompt moved to PromptGuard, where it is decided.

--- a/policy/buffershares.cpp
+++ b/core/buffershares.cpp
@@ -1,4 +1,4 @@
-#include "policy/buffershares.h"
+#include "core/buffershares.h"
 
 #include <algorithm>
 
@@ -21,6 +21,12 @@
     m_total += bytes;
 }
 
+size_t BufferShares::share(uint64_t exchange) const
+{
+    const auto entry = m_shares.find(exchange);
+    return entry == m_shares.end() ? 0 : entry->second;
+}
+
 std::optional<uint64_t> BufferShares::findExcess() const
 {
     const auto largest = std::max_element(m_shares.begin(), m_shares.end(), [](const auto &left, const auto &right) {
--- a/policy/buffershares.h
+++ b/core/buffershares.h
@@ -29,6 +29,8 @@
     void update(uint64_t exchange, size_t bytes);
     /** @return the request that has to give up its bytes because a limit is exceeded, or nothing. */
     std::optional<uint64_t> findExcess() const;
+    /** @return bytes that a request keeps, as recorded. */
+    size_t share(uint64_t exchange) const;
     /** @return bytes that all requests keep. */
     size_t total() const
     {
--- a/core/refusal.cpp
+++ b/core/refusal.cpp
@@ -1,6 +1,7 @@
 #include "core/refusal.h"
 
 #include <array>
+#include <utility>
 
 namespace vanillaspar
 {
@@ -44,6 +45,11 @@
 
 }
 
+Refusal outcomeUnknown(std::string detail)
+{
+    return {RefusalCode::OutcomeUnknown, RunState::Unknown, Millis(0), std::move(detail)};
+}
+
 std::string_view refusalName(RefusalCode code)
 {
     return entryOf(code).name;
--- a/core/refusal.h
+++ b/core/refusal.h
@@ -55,6 +55,9 @@
     }
 };
 
+/** @return a refusal of a request that may have been executed, for a cause in words. */
+Refusal outcomeUnknown(std::string detail);
+
 /** @return the stable name of @p code, such as "over_rate". */
 std::string_view refusalName(RefusalCode code);
 
--- a/serving/activerequest.h
+++ b/serving/activerequest.h
@@ -69,6 +69,8 @@
     bool endsWithConnection = false; ///< Whether the current attempt's response has neither a length nor chunks.
     EventCutter events; ///< Splits a resumable stream into whole events.
     AttemptOutcome outcome = AttemptOutcome::None;
+    Millis outcomeAt {-1}; ///< When the outcome of the current attempt was set; negative before.
+    size_t discardedBytes = 0; ///< Of the current attempt's response, received and not forwarded.
     int attemptCount = 0; ///< Attempts sent so far.
     std::string resendCause; ///< Why the last attempt failed, for the log.
     bool isResendCharged = false; ///< Whether the retry budget was charged for the next or current attempt.
--- a/serving/attempttracker.cpp
+++ b/serving/attempttracker.cpp
@@ -10,6 +10,15 @@
 namespace vanillaspar::serving
 {
 
+namespace
+{
+
+// The rest of a response whose head says enough is read only so that its connection can be used again.
+constexpr size_t maxDiscardedBytes = 64UL * 1024;
+constexpr Millis discardTimeout(250);
+
+}
+
 AttemptTracker::AttemptTracker(const Clock &clock, BackendTable &backends, EngineChooser &chooser, PromptGuard &prompts,
                                RequestLog &log)
     : m_clock(clock), m_backends(backends), m_chooser(chooser), m_prompts(prompts), m_log(log)
@@ -20,6 +29,8 @@
 {
     active.attemptAnsweredAt = Millis(-1);
     active.progress = {};
+    active.outcomeAt = Millis(-1);
+    active.discardedBytes = 0;
     active.pendingPrefill = active.request.promptTokens.value;
     m_prompts.onSent(active);
     m_chooser.onSending(active, backend);
@@ -31,6 +42,28 @@
     m_backends.onAlive(active.replica, m_clock.now());
 }
 
+void AttemptTracker::onOutcome(ActiveRequest &active, AttemptOutcome outcome)
+{
+    active.outcome = outcome;
+    active.outcomeAt = m_clock.now();
+}
+
+bool AttemptTracker::onDiscarded(ActiveRequest &active, std::string_view data)
+{
+    active.discardedBytes += data.size();
+    if (active.discardedBytes <= maxDiscardedBytes) {
+        return false;
+    }
+    m_log.onUnbounded(active, active.discardedBytes, m_clock.now());
+    return true;
+}
+
+bool AttemptTracker::isOutcomeOverdue(const ActiveRequest &active) const
+{
+    return active.attempt != 0 && active.outcome != AttemptOutcome::None && active.outcomeAt.value >= 0
+        && m_clock.now() - active.outcomeAt > discardTimeout;
+}
+
 void AttemptTracker::onAnswered(ActiveRequest &active, const HttpHead &head)
 {
     active.attemptAnsweredAt = m_clock.now();
--- a/serving/attempttracker.h
+++ b/serving/attempttracker.h
@@ -17,6 +17,7 @@
 class EngineChooser;
 class PromptGuard;
 class RequestLog;
+enum class AttemptOutcome;
 struct ActiveRequest;
 struct BackendState;
 
@@ -36,6 +37,12 @@
     void onAnswered(ActiveRequest &active, const HttpHead &head);
     /** The start of the response was forwarded. */
     void onForwarded(ActiveRequest &active, bool isSuccess);
+    /** The head of the response says how the attempt will end; the rest is discarded. */
+    void onOutcome(ActiveRequest &active, AttemptOutcome outcome);
+    /** The replica sent a part of a response that is discarded. @return whether it is longer than worth reading. */
+    bool onDiscarded(ActiveRequest &active, std::string_view data);
+    /** @return whether a response that is discarded takes longer than worth waiting for. */
+    bool isOutcomeOverdue(const ActiveRequest &active) const;
     /** The replica sent a part of the response. */
     void onBody(ActiveRequest &active, std::string_view data);
     /**
--- a/serving/dispatcher.cpp
+++ b/serving/dispatcher.cpp
@@ -78,17 +78,7 @@
 std::optional<Refusal> Dispatcher::checkAccepted(const ClientRequest &request, const Admitted &admitted) const
 {
     const std::optional<Refusal> refusal = m_stopGate.check(request, admitted, m_context.clock.now());
-    return refusal ? refusal : checkPrompt(request);
-}
-
-std::optional<Refusal> Dispatcher::checkPrompt(const ClientRequest &request) const
-{
-    const std::optional<PromptPartId> part = m_context.prompts.findBlocked(request);
-    if (!part) {
-        return std::nullopt;
-    }
-    return Refusal {RefusalCode::PromptBlocked, RunState::NotRun, Millis(0),
-                    "part " + part->text() + " of the prompt has crashed replicas"};
+    return refusal ? refusal : m_context.prompts.check(request);
 }
 
 void Dispatcher::reject(const ClientRequest &request, const ActiveRequest *active, const Refusal &refusal)
@@ -122,7 +112,7 @@
         refuse(active, *refusal);
         return Placement::Ended;
     }
-    if (const std::optional<Refusal> refusal = checkPrompt(active.request)) {
+    if (const std::optional<Refusal> refusal = m_context.prompts.check(active.request)) {
         refuse(active, *refusal);
         return Placement::Ended;
     }
@@ -204,16 +194,17 @@
     m_context.prompts.tick();
     sendWaiting();
     const Millis now = m_context.clock.now();
-    std::vector<uint64_t> overdue;
-    std::vector<uint64_t> blocked;
+    std::vector<std::pair<uint64_t, void (Dispatcher::*)(ActiveRequest &)>> due;
     for (const auto &[exchange, active] : m_requests.all()) {
         if (active->attempt != 0 && !active->isResponding() && m_context.prompts.findBlocked(active->request)) {
-            blocked.push_back(exchange);
+            due.emplace_back(exchange, &Dispatcher::withdraw);
             continue;
         }
         const bool waitsTooLong = active->attempt == 0 && now >= active->waitDeadline;
         if (now >= active->deadline || waitsTooLong) {
-            overdue.push_back(exchange);
+            due.emplace_back(exchange, &Dispatcher::expire);
+        } else if (m_tracker.isOutcomeOverdue(*active)) {
+            due.emplace_back(exchange, &Dispatcher::breakOff);
         }
         if (active->attempt != 0 && active->isEngine && !active->isResponding()) {
             m_context.chooser.onWaiting(*active, now);
@@ -223,11 +214,10 @@
         refuseUnanswered();
         return;
     }
-    for (const uint64_t exchange : blocked) {
-        withdraw(*m_requests.find(exchange));
-    }
-    for (const uint64_t exchange : overdue) {
-        expire(*m_requests.find(exchange));
+    for (const auto &[exchange, act] : due) {
+        if (ActiveRequest *active = m_requests.find(exchange)) {
+            (this->*act)(*active);
+        }
     }
 }
 
@@ -244,9 +234,7 @@
 
 void Dispatcher::withdraw(ActiveRequest &active)
 {
-    refuse(active,
-           {RefusalCode::OutcomeUnknown, RunState::Unknown, Millis(0),
-            "withdrawn from its replica, as a part of its prompt has crashed others"});
+    refuse(active, outcomeUnknown("withdrawn from its replica, as a part of its prompt has crashed others"));
 }
 
 void Dispatcher::expire(ActiveRequest &active)
@@ -280,7 +268,7 @@
     }
     m_tracker.onAlive(*active);
     if (head.wasNotExecuted) {
-        active->outcome = reasonNotExecuted(head, active->isEngine);
+        m_tracker.onOutcome(*active, reasonNotExecuted(head, active->isEngine));
         return;
     }
     const bool isSuccess = head.head.isSuccess();
@@ -292,13 +280,15 @@
     const bool mayRetry
         = active->isRetryable() && static_cast<int>(active->mayHaveRunOn.size()) + 1 < active->maxReplicas;
     if (!isSuccess && head.head.status >= firstServerError && mayRetry) {
-        active->outcome = AttemptOutcome::Failed;
+        m_tracker.onOutcome(*active, AttemptOutcome::Failed);
         return;
     }
     m_tracker.onAnswered(*active, head.head);
     if (active->isResponding()) {
         // The status of a resumed stream was already forwarded, so a further failure can't be reported to the caller.
-        active->outcome = active->isContinuedBy(head.head) ? AttemptOutcome::None : AttemptOutcome::Failed;
+        if (!active->isContinuedBy(head.head)) {
+            m_tracker.onOutcome(*active, AttemptOutcome::Failed);
+        }
         return;
     }
     active->beginResponse(head.head, m_context.clock.now());
@@ -312,7 +302,13 @@
 void Dispatcher::onAttemptBody(uint64_t attempt, std::string_view data)
 {
     ActiveRequest *active = m_requests.findByAttempt(attempt);
-    if (active == nullptr || !active->isResponding() || active->outcome != AttemptOutcome::None) {
+    if (active != nullptr && active->outcome != AttemptOutcome::None) {
+        if (m_tracker.onDiscarded(*active, data)) {
+            breakOff(*active);
+        }
+        return;
+    }
+    if (active == nullptr || !active->isResponding()) {
         return;
     }
     m_tracker.onBody(*active, data);
@@ -425,7 +421,7 @@
                                                                : "the replica's answer was lost");
         return;
     }
-    refuse(active, {RefusalCode::OutcomeUnknown, RunState::Unknown, Millis(0), "the replica's answer was lost"});
+    refuse(active, outcomeUnknown("the replica's answer was lost"));
 }
 
 void Dispatcher::retryOrRefuse(ActiveRequest &active, bool countsAsRetry, RefusalCode code, const std::string &why)
@@ -447,11 +443,14 @@
     m_tracker.onCompleted(active);
     m_context.log.onServed(active, m_context.clock.now());
     m_stopGate.onServed(active, m_context.clock.now());
+    const uint64_t exchange = active.request.exchange;
     if (const std::string rest = active.events.takeIncomplete(); !rest.empty()) {
-        m_context.callers.append(active.request.exchange, rest);
+        m_context.callers.append(exchange, rest); // may end the request
+    }
+    if (ActiveRequest *completed = m_requests.find(exchange)) {
+        m_context.callers.finish(exchange);
+        erase(*completed);
     }
-    m_context.callers.finish(active.request.exchange);
-    erase(active);
 }
 
 void Dispatcher::refuse(ActiveRequest &active, Refusal refusal)
@@ -462,8 +461,7 @@
     }
     const Millis now = m_context.clock.now();
     if (refusal.runState == RunState::NotRun && active.mayHaveRun()) {
-        refusal = {RefusalCode::OutcomeUnknown, RunState::Unknown, Millis(0),
-                   refusal.detail + "; an earlier attempt may have run"};
+        refusal = outcomeUnknown(refusal.detail + "; an earlier attempt may have run");
     }
     if (active.team && refusal.runState == RunState::NotRun) {
         m_context.admission.refund(*active.team, active.cost, now);
--- a/serving/dispatcher.h
+++ b/serving/dispatcher.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "core/buffershares.h"
 #include "core/ids.h"
 #include "core/refusal.h"
 #include "core/units.h"
 #include "net/httpupstream.h"
-#include "policy/buffershares.h"
 #include "policy/poolretrybudgets.h"
 #include "serving/activerequest.h"
 #include "serving/adapterdemand.h"
@@ -170,8 +170,6 @@
     void abortResponse(ActiveRequest &active, const std::string &why);
     /** @return why this host takes no such request now, or nothing. */
     std::optional<Refusal> checkAccepted(const ClientRequest &request, const Admitted &admitted) const;
-    /** @return why a request must not be sent because of a part of its prompt, or nothing. */
-    std::optional<Refusal> checkPrompt(const ClientRequest &request) const;
     /** Breaks off attempts until what streams keep of incomplete events is within the limits. */
     void limitIncompleteEvents();
     /** Closes the connection of an attempt whose response can't be used. */
--- a/serving/promptguard.cpp
+++ b/serving/promptguard.cpp
@@ -5,6 +5,7 @@
 #include "core/eventlog.h"
 #include "core/hash.h"
 #include "core/random.h"
+#include "core/refusal.h"
 #include "serving/activerequest.h"
 #include "serving/backendtable.h"
 
@@ -57,6 +58,16 @@
     return CrashEvidence::countedUntil(m_crashRate.controlledUntil(), m_clock.now());
 }
 
+std::optional<Refusal> PromptGuard::check(const ClientRequest &request) const
+{
+    const std::optional<PromptPartId> part = findBlocked(request);
+    if (!part) {
+        return std::nullopt;
+    }
+    return Refusal {RefusalCode::PromptBlocked, RunState::NotRun, Millis(0),
+                    "part " + part->text() + " of the prompt has crashed replicas"};
+}
+
 std::optional<PromptPartId> PromptGuard::findBlocked(const ClientRequest &request) const
 {
     std::optional<PromptPartId> found;
--- a/serving/promptguard.h
+++ b/serving/promptguard.h
@@ -19,6 +19,7 @@
 class EventLog;
 class Random;
 struct PromptReport;
+struct Refusal;
 }
 
 namespace vanillaspar::serving
@@ -42,6 +43,8 @@
 
     /** @return the first blocked part of a request's prompt; nothing if it has none. */
     std::optional<PromptPartId> findBlocked(const ClientRequest &request) const;
+    /** @return why a request must not be sent, or nothing. */
+    std::optional<Refusal> check(const ClientRequest &request) const;
     /** @return whether replicas have ended again and again under requests with a part of this one's prompt. */
     bool isSuspect(const ClientRequest &request) const;
     /** @return whether the request is suspect and another one with the same suspect part has yet to progress. */
--- a/tests/policy/buffersharestest.cpp
+++ b/tests/core/buffersharestest.cpp
@@ -1,4 +1,4 @@
-#include "policy/buffershares.h"
+#include "core/buffershares.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/serving/unboundedstreamtest.cpp
+++ b/tests/serving/unboundedstreamtest.cpp
@@ -144,6 +144,43 @@
     EXPECT_GT(m_log.count(EventCode::AnswerUnbounded), 0);
 }
 
+// The body of a rejection is of no use, but was read until the deadline.
+TEST_F(UnboundedStreamTest, ARejectionWhoseBodyHasNoEndIsCutOffAndTheBookingGoesElsewhere)
+{
+    m_dispatcher.onRequest(makeRequest(1, "/b/x", "", m_clock.now()));
+    const uint64_t first = m_attempts.sent.back().attempt;
+    HttpHead head;
+    head.status = 503;
+    m_dispatcher.onAttemptHead(first, {head, true, true, false, false});
+    EXPECT_LE(feed(first, 4 * largestEventBytes), largestEventBytes / 8);
+    ASSERT_EQ(m_attempts.sent.size(), 2U) << "the replica stated that it did not run";
+    EXPECT_TRUE(isCancelled(first));
+    startAnswer();
+    m_dispatcher.onAttemptEnd(m_attempts.sent.back().attempt, UpstreamEnd::Complete);
+    EXPECT_TRUE(m_callers.answers[1].isFinished);
+}
+
+TEST_F(UnboundedStreamTest, ARejectionWhoseBodyComesSlowlyIsNotWaitedFor)
+{
+    m_dispatcher.onRequest(makeRequest(1, "/b/x", "", m_clock.now()));
+    HttpHead head;
+    head.status = 503;
+    m_dispatcher.onAttemptHead(m_attempts.sent.back().attempt, {head, true, true, false, false});
+    m_clock.setNow(m_clock.now() + Millis(300));
+    m_dispatcher.tick();
+    EXPECT_EQ(m_attempts.sent.size(), 2U);
+}
+
+// A booking that may have run is neither sent again nor said not to have run.
+TEST_F(UnboundedStreamTest, ABookingWhoseFailureHasNoEndIsOfUnknownOutcome)
+{
+    m_dispatcher.onRequest(makeRequest(1, "/b/x", "", m_clock.now()));
+    m_dispatcher.onAttemptEnd(m_attempts.sent.back().attempt, UpstreamEnd::Malformed);
+    EXPECT_EQ(m_attempts.sent.size(), 1U);
+    ASSERT_TRUE(m_callers.answers[1].refusal);
+    EXPECT_EQ(m_callers.answers[1].refusal->runState, RunState::Unknown);
+}
+
 TEST_F(UnboundedStreamTest, TheLargestSoundEventArrivesInSmallPieces)
 {
     const std::string event = "id: 1\ndata: " + std::string(largestEventBytes - 20, 'x') + "\n\n";
