Bound what servers and slow callers make a host keep

Reported by other operators: bytes that are no answer, without end, in a head or a body; the machine that had called kept them all and ran out of memory.

Cause: each component bounded what a test had asked for, and none what one exchange may receive in all. The answers to orders and reports and those of the store were kept whole whatever their length; informational answers and answers to earlier requests were read and dropped until the deadline; header fields had a bound in bytes only; unread answers had a bound for each caller (8 MiB) and none for all.

--- a/net/httpbackendlink.cpp
+++ b/net/httpbackendlink.cpp
@@ -103,6 +103,7 @@
             onStreamData(call, *stream, data);
         } else {
             stream->buffer += data;
+            limitBuffer(call, *stream);
         }
     };
     m_httpCalls[call.id] = m_client.call({"POST", call.address, "/v1/generate", body.dump(), {}, {}}, onDone, onData);
@@ -118,6 +119,11 @@
         onStreamLine(call, stream, line);
         end = stream.buffer.find('\n');
     }
+    limitBuffer(call, stream);
+}
+
+void HttpBackendLink::limitBuffer(const BackendCall &call, const Stream &stream)
+{
     if (stream.buffer.size() > maxLine) {
         cancel(call.id);
         emit(call, Broken {});
--- a/net/httpbackendlink.h
+++ b/net/httpbackendlink.h
@@ -38,6 +38,8 @@
     void readState(const BackendCall &call);
     void callService(const BackendCall &call, const struct ServiceCall &work);
     void onStreamData(const BackendCall &call, Stream &stream, const std::string &data);
+    /** Ends a call whose server sends more than a line may hold. */
+    void limitBuffer(const BackendCall &call, const Stream &stream);
     void onStreamLine(const BackendCall &call, Stream &stream, const std::string &line);
     bool reportFailure(const BackendCall &call, const HttpResult &result);
     void emit(const BackendCall &call, decltype(BackendEvent::what) what);
--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -15,6 +15,7 @@
 
 constexpr size_t readPiece = 16UL * 1024; // bytes
 constexpr size_t writePiece = 16UL * 1024; // bytes
+constexpr size_t maxBodyBytes = 8UL * 1024 * 1024; // of an answer that is kept as a whole
 
 bool addHeader(lws *wsi, const char *name, const std::string &value, unsigned char **position, unsigned char *end)
 {
@@ -166,6 +167,9 @@
             onData(call.result.status, data);
         } else {
             call.result.body += data;
+            if (call.result.body.size() > maxBodyBytes) {
+                return -1; // ends the call as broken
+            }
         }
         return 0;
     }
--- a/net/httpingress.cpp
+++ b/net/httpingress.cpp
@@ -20,7 +20,8 @@
 constexpr Millis lingerTime(1000);
 // Milliseconds for a whole body, beyond what a slow but sound caller needs for the largest one.
 constexpr Millis bodyTimeout(30000);
-constexpr size_t mostUnwritten = 8UL * 1024 * 1024; // bytes that a caller who doesn't read may hold here
+constexpr size_t maxUnwrittenBytes = 8UL * 1024 * 1024; // of a caller that doesn't read
+constexpr size_t maxUnwrittenTotal = 32UL * 1024 * 1024; // of all callers, a fifth of a small host's memory
 
 constexpr int badRequest = 400;
 constexpr int requestTimeout = 408;
@@ -57,6 +58,7 @@
     : m_loop(loop)
     , m_clock(clock)
     , m_handlers(std::move(handlers))
+    , m_unwritten(maxUnwrittenBytes, maxUnwrittenTotal)
     , m_listener(std::make_unique<TcpListener>(loop, endpoint, [this](int descriptor) {
         accept(descriptor);
     }))
@@ -240,8 +242,20 @@
     } else {
         connection->socket->write(data);
     }
-    if (connection->socket->pendingBytes() > mostUnwritten) {
-        drop(connection->id);
+    m_unwritten.update(connection->id, connection->socket->pendingBytes());
+    limitUnwritten();
+}
+
+void HttpIngress::limitUnwritten()
+{
+    while (const std::optional<uint64_t> id = m_unwritten.findExcess()) {
+        const auto entry = m_connections.find(*id);
+        const size_t pending = entry == m_connections.end() ? 0 : entry->second->socket->pendingBytes();
+        const size_t before = m_unwritten.share(*id);
+        m_unwritten.update(*id, pending); // the caller may have read since
+        if (pending >= before) {
+            drop(*id);
+        }
     }
 }
 
@@ -290,6 +304,7 @@
     }
     const std::unique_ptr<Connection> connection = std::move(entry->second);
     m_connections.erase(entry);
+    m_unwritten.update(id, 0);
     if (connection->exchange != 0) {
         m_connectionByExchange.erase(connection->exchange);
         m_handlers.onGone(connection->exchange);
--- a/net/httpingress.h
+++ b/net/httpingress.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/buffershares.h"
 #include "core/units.h"
 #include "net/endpoint.h"
 #include "net/httphead.h"
@@ -80,6 +81,8 @@
     void startHead(Connection &connection, int status, const HttpHeaders &headers, bool hasLength, uint64_t length);
     void endExchange(Connection &connection);
     void drop(uint64_t connection);
+    /** Drops connections until what callers leave unread is within the limits. */
+    void limitUnwritten();
     void sweep();
     Connection *find(uint64_t exchange);
 
@@ -91,6 +94,7 @@
     std::map<uint64_t, uint64_t> m_connectionByExchange;
     uint64_t m_nextId = 1;
     bool m_isClosing = false;
+    BufferShares m_unwritten; ///< Bytes that callers have yet to read, by connection.
     std::unique_ptr<TcpListener> m_listener;
 };
 
--- a/net/httpreader.cpp
+++ b/net/httpreader.cpp
@@ -5,6 +5,13 @@
 namespace vanillaspar
 {
 
+namespace
+{
+
+constexpr size_t maxHeaderFields = 1024; // each takes memory beyond its bytes
+
+}
+
 const char *reasonPhrase(int status)
 {
     return http_status_str(static_cast<http_status>(status));
@@ -24,13 +31,11 @@
     }
     static int onField(http_parser *parser, const char *at, size_t length)
     {
-        reader(parser).takeHeaderPart(false, {at, length});
-        return 0;
+        return reader(parser).takeHeaderPart(false, {at, length});
     }
     static int onValue(http_parser *parser, const char *at, size_t length)
     {
-        reader(parser).takeHeaderPart(true, {at, length});
-        return 0;
+        return reader(parser).takeHeaderPart(true, {at, length});
     }
     static int onHead(http_parser *parser)
     {
@@ -85,13 +90,19 @@
     m_isBodyless = false;
     m_hasStarted = false;
     m_hasHead = false;
+    m_hasTooManyFields = false;
     m_isComplete = false;
 }
 
-void HttpReader::takeHeaderPart(bool isValue, std::string_view text)
+int HttpReader::takeHeaderPart(bool isValue, std::string_view text)
 {
+    constexpr int refuseHead = -1;
     if (m_hasHead) {
-        return; // a trailer of a chunked body concerns only this connection
+        return 0; // a trailer of a chunked body concerns only this connection
+    }
+    if (m_head.headers.size() > maxHeaderFields) {
+        m_hasTooManyFields = true;
+        return refuseHead;
     }
     if (!isValue && (m_isValuePart || m_head.headers.empty())) {
         m_head.headers.emplace_back();
@@ -99,6 +110,7 @@
     m_isValuePart = isValue;
     HttpHeader &header = m_head.headers.back();
     (isValue ? header.value : header.name).append(text);
+    return 0;
 }
 
 int HttpReader::completeHead()
@@ -141,7 +153,7 @@
         }
     }
     const http_errno error = HTTP_PARSER_ERRNO(m_parser.get());
-    if (error == HPE_HEADER_OVERFLOW) {
+    if (error == HPE_HEADER_OVERFLOW || m_hasTooManyFields) {
         return State::HeadTooLarge;
     }
     return error != HPE_OK || m_parser->upgrade != 0 ? State::Malformed : State::NeedsMore;
--- a/net/httpreader.h
+++ b/net/httpreader.h
@@ -75,7 +75,8 @@
 private:
     struct Callbacks;
 
-    void takeHeaderPart(bool isValue, std::string_view text);
+    /** @return 0, or what makes the parser refuse the message. */
+    int takeHeaderPart(bool isValue, std::string_view text);
     int completeHead();
 
     Kind m_kind;
@@ -88,6 +89,7 @@
     bool m_isBodyless = false;
     bool m_hasStarted = false;
     bool m_hasHead = false;
+    bool m_hasTooManyFields = false;
     bool m_isComplete = false;
 };
 
--- a/net/httpupstream.cpp
+++ b/net/httpupstream.cpp
@@ -15,6 +15,9 @@
 {
 
 constexpr size_t maxHeadBytes = 64UL * 1024;
+// Informational responses, the head, and responses to earlier requests that come late, for one request.
+constexpr size_t maxUnassignedBytes = 1024UL * 1024;
+constexpr size_t maxWholeBytes = 8UL * 1024 * 1024;
 // A handshake inside a region takes milliseconds; one lost packet is sent again within a few hundred.
 constexpr Millis connectTimeout(600);
 constexpr Millis sweepInterval(50);
@@ -52,6 +55,8 @@
     UpstreamRequest request; ///< Without its body once sent, unless it may be repeated.
     uint64_t exchange = 0; ///< 0 while it is idle.
     uint64_t sentBefore = 0; ///< Bytes of earlier requests.
+    size_t unassignedBytes = 0; ///< Received for the exchange without being its body.
+    size_t bodyBytes = 0; ///< Received of its body.
     Millis startedAt;
     Millis idleSince;
     Millis keepAlive;
@@ -60,7 +65,12 @@
     bool isUnusable = false; ///< Whether it must be closed after this exchange.
 
     void onHead(HttpHead &head);
-    void onBody(std::string_view data) const;
+    void onBody(std::string_view data);
+    /** @return whether more was received than the limits allow. */
+    bool isUnbounded() const
+    {
+        return unassignedBytes > maxUnassignedBytes || (request.maxBodyBytes > 0 && bodyBytes > request.maxBodyBytes);
+    }
     /** @return whether a response answers the current request, by the header that repeats the request's own one. */
     bool isEchoed(const HttpHead &head) const;
 };
@@ -96,9 +106,13 @@
     }
 }
 
-void HttpUpstream::Connection::onBody(std::string_view data) const
+void HttpUpstream::Connection::onBody(std::string_view data)
 {
-    if (!isForeign && handlers.onBody) {
+    if (isForeign) {
+        return;
+    }
+    bodyBytes += data.size();
+    if (handlers.onBody) {
         const auto handler = handlers.onBody;
         handler(data);
     }
@@ -134,6 +148,7 @@
 uint64_t HttpUpstream::sendWhole(UpstreamRequest request, std::function<void(const UpstreamAnswer &)> handler)
 {
     const auto answer = std::make_shared<UpstreamAnswer>();
+    request.maxBodyBytes = request.maxBodyBytes == 0 ? maxWholeBytes : request.maxBodyBytes;
     UpstreamHandlers handlers;
     handlers.onHead = [answer](HttpHead &head) {
         answer->status = head.status;
@@ -202,6 +217,8 @@
     connection.exchange = exchange;
     connection.startedAt = m_clock.now();
     connection.sentBefore = connection.socket->bytesSent();
+    connection.unassignedBytes = 0;
+    connection.bodyBytes = 0;
     connection.isForeign = false;
     connection.reader->reset();
     m_connectionByExchange[exchange] = connection.id;
@@ -236,12 +253,18 @@
     const uint64_t exchange = connection.exchange;
     while (!data.empty()) {
         size_t consumed = 0;
+        const bool isOwnBody = connection.reader->hasHead() && !connection.isForeign;
         const HttpReader::State state = connection.reader->feed(data, consumed);
         const auto alive = m_connections.find(id);
         if (alive == m_connections.end() || alive->second->exchange != exchange) {
             return; // a handler cancelled the exchange
         }
         data.remove_prefix(std::min(consumed, data.size()));
+        connection.unassignedBytes += isOwnBody ? 0 : consumed;
+        if (connection.isUnbounded()) {
+            end(connection, UpstreamEnd::Malformed, false);
+            return;
+        }
         if (state == HttpReader::State::NeedsMore) {
             return;
         }
--- a/net/httpupstream.h
+++ b/net/httpupstream.h
@@ -26,7 +26,7 @@
     Complete,
     NotSent, ///< No byte of the request left this process.
     Broken, ///< The connection ended or fell silent after bytes had been sent.
-    Malformed, ///< What came back is no HTTP response.
+    Malformed, ///< What came back is no HTTP response, or is longer than the limits allow.
 };
 
 /** A request to a server. */
@@ -44,6 +44,7 @@
      */
     std::string echoHeader;
     std::string echoValue; ///< Empty if the response must not have the header.
+    size_t maxBodyBytes = 0; ///< A longer body counts as malformed; 0 for no limit.
     Millis timeout {0}; ///< Until the response is complete; 0 leaves it to the caller.
     /** Whether the request is sent again, on a new connection, if its kept connection ends without a response. */
     bool isRepeatable = false;
@@ -78,7 +79,12 @@
 
     /** Sends a request. @return a number for cancel(). */
     uint64_t send(UpstreamRequest request, UpstreamHandlers handlers);
-    /** Sends a request whose answer is wanted as a whole. @return a number for cancel(). */
+    /**
+     * Sends a request whose answer is wanted as a whole.
+     *
+     * @param request without a limit for its body, the limit is 8 MiB.
+     * @return a number for cancel().
+     */
     uint64_t sendWhole(UpstreamRequest request, std::function<void(const UpstreamAnswer &)> handler);
     /**
      * Ends the exchanges with a peer of which no byte has left this process, soon and as not sent.
