Judge a request as a whole when replicas end under it

Cause: evidence counts each request once, known by the last part of its prompt, and the last part was never judged. The same request again and again had weight 1 for ever.

Ruled out: evidence that doesn't travel, the retry budget, slow judgement (nothing was ever suspected).

Change: a fingerprint of the adapter and all parts is a suspect beside the shared parts; every end under it counts. A whole request needs five ends and no history where nothing progresses.

--- a/policy/crashevidence.cpp
+++ b/policy/crashevidence.cpp
@@ -1,6 +1,7 @@
 #include "policy/crashevidence.h"
 
 #include "policy/partshistory.h"
+#include "policy/requestfingerprint.h"
 
 #include <algorithm>
 #include <cmath>
@@ -25,6 +26,8 @@
 constexpr size_t minAddresses = 2;
 constexpr int64_t minWeight = 3;
 constexpr int64_t neverProgressedWeight = 4;
+constexpr int64_t requestNeverProgressedWeight = 5; // more than the replicas that one request may be sent to
+constexpr size_t maxEndsPerPart = 64;
 constexpr double minCoverage = 0.5;
 constexpr double maxCoincidence = 1e-5; // that a sound part's requests all ended with their replicas
 
@@ -79,6 +82,9 @@
         return false;
     }
     const bool isNew = known == crashes.end();
+    if (evidence.ends.size() < maxEndsPerPart) {
+        evidence.ends.insert(crash.end);
+    }
     if (isNew) {
         crashes.push_back(crash);
         evidence.changedAt = now;
@@ -115,6 +121,10 @@
             return crash.at <= begunAt;
         });
         evidence.changedAt = cleared > 0 ? now : evidence.changedAt;
+        evidence.ends.clear();
+        for (const PartCrash &crash : evidence.crashes) {
+            evidence.ends.insert(crash.end);
+        }
     }
     return now - evidence.changedAt <= clearedRetention;
 }
@@ -144,6 +154,9 @@
         std::erase_if(evidence.crashes, [this](const PartCrash &crash) {
             return m_explainedEnds.count(crash.end) > 0;
         });
+        std::erase_if(evidence.ends, [this](uint32_t end) {
+            return m_explainedEnds.count(end) > 0;
+        });
     }
 }
 
@@ -183,8 +196,9 @@
     const auto isCounted = [&](Millis at) {
         return at >= from && at <= countedUntil;
     };
-    const auto own = std::count_if(evidence.crashes.begin(), evidence.crashes.end(), [&](const PartCrash &crash) {
-        return isCounted(crash.at);
+    const auto own = std::count_if(evidence.ends.begin(), evidence.ends.end(), [&](uint32_t end) {
+        const auto entry = m_ends.find(end);
+        return entry != m_ends.end() && isCounted(entry->second);
     });
     const auto all = std::count_if(m_ends.begin(), m_ends.end(), [&](const auto &end) {
         return isCounted(end.second);
@@ -195,16 +209,20 @@
 std::optional<PromptPartId> CrashEvidence::findNeverProgressed(const PartsHistory &history, Millis now) const
 {
     std::optional<PromptPartId> found;
-    int64_t most = neverProgressedWeight - 1;
+    int64_t most = 0;
     const Millis countedUntil = now - clearanceTime;
     for (const auto &[part, evidence] : m_parts) {
+        const bool isRequest = isRequestFingerprint(part);
+        const int64_t least = isRequest ? requestNeverProgressedWeight : neverProgressedWeight;
         const int64_t weight = weightOf(evidence, countedUntil);
-        if (weight > most && !history.hasProgressed(part) && coverage(evidence, countedUntil) >= minCoverage) {
+        const bool canTell = isRequest || history.isMeaningful();
+        if (canTell && weight >= least && weight > most && !history.hasProgressed(part)
+            && coverage(evidence, countedUntil) >= minCoverage) {
             most = weight;
             found = part;
         }
     }
-    return history.isMeaningful() ? found : std::nullopt;
+    return found;
 }
 
 void CrashEvidence::prune(Millis now)
--- a/policy/crashevidence.h
+++ b/policy/crashevidence.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace vanillaspar
@@ -25,7 +26,9 @@
 /** What is known of a part of a prompt under which replicas ended. */
 struct PartEvidence
 {
-    std::vector<PartCrash> crashes; ///< One for each end, in order of time.
+    std::vector<PartCrash>
+        crashes; ///< One for each end, in order of time; the most independent ones if there are many.
+    std::set<uint32_t> ends; ///< All ends since it was cleared, up to a limit.
     /** The latest time at which an answer began that progressed; older crashes don't count. */
     Millis clearedAt {INT64_MIN / 2};
     Millis changedAt; ///< When this host last learned something new.
@@ -72,6 +75,9 @@
     /**
      * Finds a crashing part also while replicas end so fast that hardly any answer progresses.
      *
+     * For a whole request it takes one more end, and no history: unlike a part, a sound request is sent only a few
+     * times.
+     *
      * @param history answers that have progressed at any time.
      * @return the part with the most evidence among those on which no answer has ever progressed, if it was there at
      * most ends of replicas.
--- a/policy/partshistory.cpp
+++ b/policy/partshistory.cpp
@@ -1,5 +1,7 @@
 #include "policy/partshistory.h"
 
+#include "policy/requestfingerprint.h"
+
 #include <algorithm>
 #include <vector>
 
@@ -14,20 +16,28 @@
 
 }
 
+const PartsHistory::LastBegun &PartsHistory::lastBegunOf(const PromptPartId &part) const
+{
+    return isRequestFingerprint(part) ? m_requests : m_parts;
+}
+
 void PartsHistory::onProgressed(const PromptPartId &part, Millis begunAt)
 {
-    Millis &last = m_lastBegun.try_emplace(part, begunAt).first->second;
+    const bool isRequest = isRequestFingerprint(part);
+    LastBegun &lastBegun = isRequest ? m_requests : m_parts;
+    Millis &last = lastBegun.try_emplace(part, begunAt).first->second;
     last = std::max(last, begunAt);
-    ++m_count;
-    if (m_lastBegun.size() > maxParts) {
-        dropOldest();
+    m_count += isRequest ? 0 : 1;
+    if (lastBegun.size() > maxParts) {
+        dropOldest(lastBegun);
     }
 }
 
 bool PartsHistory::hasProgressedSince(const PromptPartId &part, Millis since) const
 {
-    const auto entry = m_lastBegun.find(part);
-    return entry != m_lastBegun.end() && entry->second >= since;
+    const LastBegun &lastBegun = lastBegunOf(part);
+    const auto entry = lastBegun.find(part);
+    return entry != lastBegun.end() && entry->second >= since;
 }
 
 bool PartsHistory::isMeaningful() const
@@ -35,15 +45,15 @@
     return m_count >= meaningfulCount;
 }
 
-void PartsHistory::dropOldest()
+void PartsHistory::dropOldest(LastBegun &lastBegun)
 {
     std::vector<Millis> times;
-    for (const auto &[part, begunAt] : m_lastBegun) {
+    for (const auto &[part, begunAt] : lastBegun) {
         times.push_back(begunAt);
     }
     const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
     std::nth_element(times.begin(), middle, times.end());
-    std::erase_if(m_lastBegun, [limit = *middle](const auto &entry) {
+    std::erase_if(lastBegun, [limit = *middle](const auto &entry) {
         return entry.second < limit;
     });
 }
--- a/policy/partshistory.h
+++ b/policy/partshistory.h
@@ -21,16 +21,20 @@
     /** @return whether any answer on the part has progressed. */
     bool hasProgressed(const PromptPartId &part) const
     {
-        return m_lastBegun.count(part) > 0;
+        return lastBegunOf(part).count(part) > 0;
     }
     /** @return whether enough was seen that a part without any answer is remarkable. */
     bool isMeaningful() const;
 
 private:
-    /** Drops the half of the parts that was used least recently. */
-    void dropOldest();
+    using LastBegun = std::map<PromptPartId, Millis>;
 
-    std::map<PromptPartId, Millis> m_lastBegun;
+    /** Drops the half of the names that was used least recently. */
+    static void dropOldest(LastBegun &lastBegun);
+    const LastBegun &lastBegunOf(const PromptPartId &part) const;
+
+    LastBegun m_parts;
+    LastBegun m_requests; ///< Whole requests; most come once and would push parts out.
     int64_t m_count = 0; ///< Answers that have progressed, counted once for each part.
 };
 
--- a/serving/dispatcher.cpp
+++ b/serving/dispatcher.cpp
@@ -3,6 +3,7 @@
 #include "cluster/messages/fleet.h"
 #include "core/clock.h"
 #include "policy/replicapause.h"
+#include "policy/requestfingerprint.h"
 #include "serving/adapterversions.h"
 #include "serving/admission.h"
 #include "serving/backendtable.h"
@@ -56,6 +57,7 @@
 void Dispatcher::onRequest(ClientRequest request)
 {
     const Millis now = m_context.clock.now();
+    request.fingerprint = requestFingerprint(request.weights, request.promptParts);
     const std::variant<Admitted, Refusal> decision = m_context.admission.resolve(request, now);
     if (const Refusal *refusal = std::get_if<Refusal>(&decision)) {
         reject(request, nullptr, *refusal);
--- a/serving/promptguard.cpp
+++ b/serving/promptguard.cpp
@@ -6,6 +6,7 @@
 #include "core/hash.h"
 #include "core/random.h"
 #include "core/refusal.h"
+#include "policy/requestfingerprint.h"
 #include "serving/activerequest.h"
 #include "serving/backendtable.h"
 
@@ -32,13 +33,15 @@
     return shortHash(replica.text() + "/" + std::to_string(incarnation));
 }
 
-/** Calls @p action with each part that other requests may share. */
-template<class Action>
-void forEachSharedPart(const std::vector<PromptPartId> &parts, Action action)
+/** @return what the end of a replica may be blamed on: the parts that other requests may share, and the request itself.
+ */
+std::vector<PromptPartId> suspectsOf(const ClientRequest &request)
 {
-    for (size_t i = 0; i + 1 < parts.size(); ++i) {
-        action(parts[i]);
+    std::vector<PromptPartId> suspects = request.promptParts;
+    if (!suspects.empty()) {
+        suspects.back() = request.fingerprint; // the last part belongs to the request alone
     }
+    return suspects;
 }
 
 uint32_t ageOf(Millis at, Millis now)
@@ -64,45 +67,43 @@
     if (!part) {
         return std::nullopt;
     }
-    return Refusal {RefusalCode::PromptBlocked, RunState::NotRun, Millis(0),
-                    "part " + part->text() + " of the prompt has crashed replicas"};
+    const std::string what = isRequestFingerprint(*part) ? "this request" : "part " + part->text() + " of the prompt";
+    return Refusal {RefusalCode::PromptBlocked, RunState::NotRun, Millis(0), what + " has crashed replicas"};
 }
 
 std::optional<PromptPartId> PromptGuard::findBlocked(const ClientRequest &request) const
 {
     std::optional<PromptPartId> found;
     if (!m_blocked.parts().empty()) {
-        forEachSharedPart(request.promptParts, [&](const PromptPartId &part) {
+        for (const PromptPartId &part : suspectsOf(request)) {
             found = !found && m_blocked.find(part) != nullptr ? part : found;
-        });
+        }
     }
     return found;
 }
 
 bool PromptGuard::isSuspect(const ClientRequest &request) const
 {
-    bool isFound = false;
-    forEachSharedPart(request.promptParts, [&](const PromptPartId &part) {
-        isFound = isFound || m_evidence.weight(part, countedUntil()) >= suspectWeight;
+    const std::vector<PromptPartId> suspects = suspectsOf(request);
+    return std::any_of(suspects.begin(), suspects.end(), [&](const PromptPartId &part) {
+        return m_evidence.weight(part, countedUntil()) >= suspectWeight;
     });
-    return isFound;
 }
 
 bool PromptGuard::mustWait(const ClientRequest &request) const
 {
-    bool isFound = false;
-    forEachSharedPart(request.promptParts, [&](const PromptPartId &part) {
-        isFound = isFound || (m_starting.count(part) > 0 && m_evidence.weight(part, countedUntil()) >= suspectWeight);
+    const std::vector<PromptPartId> suspects = suspectsOf(request);
+    return std::any_of(suspects.begin(), suspects.end(), [&](const PromptPartId &part) {
+        return m_starting.count(part) > 0 && m_evidence.weight(part, countedUntil()) >= suspectWeight;
     });
-    return isFound;
 }
 
 void PromptGuard::onSent(ActiveRequest &active)
 {
     active.isStarting = true;
-    forEachSharedPart(active.request.promptParts, [&](const PromptPartId &part) {
+    for (const PromptPartId &part : suspectsOf(active.request)) {
         ++m_starting[part];
-    });
+    }
 }
 
 void PromptGuard::onEnded(ActiveRequest &active)
@@ -111,12 +112,12 @@
         return;
     }
     active.isStarting = false;
-    forEachSharedPart(active.request.promptParts, [&](const PromptPartId &part) {
+    for (const PromptPartId &part : suspectsOf(active.request)) {
         const auto entry = m_starting.find(part);
         if (entry != m_starting.end() && --entry->second <= 0) {
             m_starting.erase(entry);
         }
-    });
+    }
 }
 
 void PromptGuard::onProgressed(ActiveRequest &active)
@@ -126,13 +127,13 @@
     }
     onEnded(active);
     const Millis now = m_clock.now();
-    if (active.request.promptParts.size() > 1) {
+    if (!active.request.promptParts.empty()) {
         m_crashRate.onProgressed(active.attemptAnsweredAt, now);
     }
-    forEachSharedPart(active.request.promptParts, [&](const PromptPartId &part) {
+    for (const PromptPartId &part : suspectsOf(active.request)) {
         m_history.onProgressed(part, active.attemptAnsweredAt);
         clearPart(part, active.attemptAnsweredAt, clearanceHops);
-    });
+    }
 }
 
 void PromptGuard::onCompleted(ActiveRequest &active)
@@ -159,9 +160,9 @@
 void PromptGuard::onBroken(const ActiveRequest &active)
 {
     const BackendState *state = m_backends.find(active.replica);
-    if (active.isStarting && state != nullptr && active.request.promptParts.size() > 1) {
+    if (active.isStarting && state != nullptr && !active.request.promptParts.empty()) {
         m_broken.push_back(
-            {active.replica, state->info.residency.incarnation, m_clock.now(), active.request.promptParts});
+            {active.replica, state->info.residency.incarnation, m_clock.now(), suspectsOf(active.request)});
     }
 }
 
@@ -178,18 +179,20 @@
     crash.address = shortHash(state->info.address);
     crash.request = shortHash(broken.parts.back().text());
     crash.at = broken.at;
-    bool isExplained = false;
-    forEachSharedPart(broken.parts, [&](const PromptPartId &part) {
-        isExplained = isExplained || m_blocked.find(part) != nullptr;
+    const bool isExplained = std::any_of(broken.parts.begin(), broken.parts.end(), [this](const PromptPartId &part) {
+        return m_blocked.find(part) != nullptr;
     });
     if (isExplained) {
         m_evidence.explainEnd(crash.end, now);
     }
-    forEachSharedPart(broken.parts, [&](const PromptPartId &part) {
+    for (const PromptPartId &part : broken.parts) {
+        if (isRequestFingerprint(part)) {
+            crash.request = crash.end; // each end under the same request counts
+        }
         if (!m_history.hasProgressedSince(part, crash.at)) {
             m_evidence.onCrash(part, crash, now);
         }
-    });
+    }
 }
 
 void PromptGuard::tick()
--- a/serving/promptguard.h
+++ b/serving/promptguard.h
@@ -88,7 +88,7 @@
         ReplicaId replica;
         int64_t incarnation = 0;
         Millis at;
-        std::vector<PromptPartId> parts;
+        std::vector<PromptPartId> parts; ///< The request itself comes last.
     };
     /** A clearance that other hosts are to be told of. */
     struct Clearance
--- a/tests/fakes/servingfleet.cpp
+++ b/tests/fakes/servingfleet.cpp
@@ -384,6 +384,14 @@
     request.promptParts = {PromptPartId("f" + std::to_string(first)), PromptPartId("e" + request.key.substr(3)),
                            isCrashing ? crashingPart() : PromptPartId("b" + std::to_string(subject)),
                            PromptPartId("a" + std::to_string(exchange))};
+    if (isCrashing && m_setup.isSameRequest) {
+        request.promptParts = {PromptPartId("f0"), PromptPartId("e0"), PromptPartId("b1"), crashingPart()};
+    } else if (!isCrashing && m_random.unit() < m_setup.popularShare) {
+        request.promptParts.back() = PromptPartId("popular");
+        request.promptParts[0] = PromptPartId("f1");
+        request.promptParts[1] = PromptPartId("e1");
+        request.promptParts[2] = PromptPartId("b0");
+    }
     Outcome &outcome = m_outcomes[exchange];
     outcome.sentAt = m_clock.now();
     outcome.isCrashing = isCrashing;
--- a/tests/fakes/servingfleet.h
+++ b/tests/fakes/servingfleet.h
@@ -24,6 +24,8 @@
     size_t replicas = 18;
     double soundRate = 250; ///< Sound requests a second.
     double crashingRate = 0; ///< Requests a second with the part that crashes replicas.
+    bool isSameRequest = false; ///< Whether the crashing part is the last one and all parts are the same each time.
+    double popularShare = 0; ///< Share of the sound requests that repeat one request word for word.
     std::string target = "/s/"; ///< Path of the route that is asked for; "/r/" may be resumed.
     double crashingLoadRate
         = 0; ///< Requests a second for an adapter that ends every engine which is ordered to load it.
@@ -92,10 +94,10 @@
         return m_crashes.size();
     }
     /**
-     * @return the number of requests with the crashing part that reached engines more than @p contact after the fifth
-     *     crash, sent by hosts that had been undisturbed for that long.
+     * @return the number of requests with the crashing part that reached engines more than @p contact after the
+     *     last of the first @p crashes, sent by hosts that had been undisturbed for that long.
      */
-    int64_t lateArrivals(Millis contact) const;
+    int64_t lateArrivals(Millis contact, size_t crashes = 5) const;
     /** @return the share of the sound requests of a time span whose answer began; 1 if there are none. */
     double begunShare(Millis from, Millis to) const;
     /** @return the lowest such share of a team or a first part that has 20 requests or more. */
--- a/tests/fakes/servingfleetcounts.cpp
+++ b/tests/fakes/servingfleetcounts.cpp
@@ -19,13 +19,12 @@
     });
 }
 
-int64_t ServingFleet::lateArrivals(Millis contact) const
+int64_t ServingFleet::lateArrivals(Millis contact, size_t crashes) const
 {
-    constexpr size_t fifth = 5;
-    if (m_crashes.size() < fifth) {
+    if (m_crashes.size() < crashes) {
         return 0;
     }
-    const Millis from = m_crashes[fifth - 1] + contact;
+    const Millis from = m_crashes[crashes - 1] + contact;
     return std::count_if(m_crashingArrivals.begin(), m_crashingArrivals.end(), [&](const auto &arrival) {
         return arrival.first > from && arrival.first - arrival.second > contact;
     });
