--- a/policy/crashevidence.h
+++ b/policy/crashevidence.h
@@ -26,8 +26,8 @@
 /** What is known of a part of a prompt under which replicas ended. */
 struct PartEvidence
 {
-    std::vector<PartCrash>
-        crashes; ///< One for each end, in order of time; the most independent ones if there are many.
+    /** One for each end, in order of time; the most independent ones if there are many. */
+    std::vector<PartCrash> crashes;
     std::set<uint32_t> ends; ///< All ends since it was cleared, up to a limit.
     /** The latest time at which an answer began that progressed; older crashes don't count. */
     Millis clearedAt {INT64_MIN / 2};
--- a/tests/net/unboundedbytestest.cpp
+++ b/tests/net/unboundedbytestest.cpp
@@ -38,7 +38,7 @@
 class Flooder
 {
 public:
-    Flooder(Loop &loop, int descriptor, std::string start, std::string filler)
+    Flooder(Loop &loop, int descriptor, std::string start, const std::string &filler)
         : m_start(std::move(start))
         , m_socket(loop, descriptor,
                    {{},
