--- a/serving/clientrequest.h
+++ b/serving/clientrequest.h
@@ -27,7 +27,7 @@
     std::optional<Tokens> tokens; ///< Prompt tokens plus the maximum of output tokens.
     Tokens promptTokens;
     std::vector<PromptPartId> promptParts; ///< In order; the last one belongs to this request or its session alone.
-    PromptPartId fingerprint; ///< Identifies the request whatever its id; set when it is admitted, empty without parts.
+    PromptPartId fingerprint; ///< Identifies the request whatever its id; set on receipt, empty without parts.
     std::optional<Millis> callerTimeout; ///< How long the caller waits, counted from receivedAt.
     Millis receivedAt;
 
--- a/tests/fakes/servingfakes.h
+++ b/tests/fakes/servingfakes.h
@@ -97,6 +97,9 @@
     void append(uint64_t exchange, std::string_view data) override
     {
         answers[exchange].body.append(data);
+        if (onAppend) {
+            onAppend(exchange);
+        }
     }
     void finish(uint64_t exchange) override
     {
@@ -108,6 +111,7 @@
     }
 
     std::map<uint64_t, Answer> answers;
+    std::function<void(uint64_t)> onAppend; ///< Called after a part of an answer was taken.
 };
 
 /** Attempts that are recorded; the test answers them. */
--- a/tests/net/httploopbacktest.cpp
+++ b/tests/net/httploopbacktest.cpp
@@ -61,6 +61,22 @@
     EXPECT_EQ(reader.feed("GET / HTTP/1.1\r\nX: " + std::string(200, 'a'), consumed), HttpReader::State::HeadTooLarge);
 }
 
+// Small fields take more memory than bytes.
+TEST(HttpReader, BoundsTheNumberOfFields)
+{
+    const auto feed = [](int fields) {
+        HttpReader reader(HttpReader::Kind::Responses, 65536, {[](HttpHead &) {}, [](std::string_view) {}});
+        std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n";
+        for (int i = 0; i < fields; ++i) {
+            head += "a:\r\n";
+        }
+        size_t consumed = 0;
+        return reader.feed(head + "\r\n", consumed);
+    };
+    EXPECT_EQ(feed(1000), HttpReader::State::Complete);
+    EXPECT_EQ(feed(2000), HttpReader::State::HeadTooLarge);
+}
+
 /** A server that says what a test wants, byte for byte, and a client. */
 class HttpUpstreamTest : public testing::Test
 {
--- a/tests/net/unboundedbytestest.cpp
+++ b/tests/net/unboundedbytestest.cpp
@@ -49,13 +49,14 @@
                         m_hasEnded = true;
                     }})
     {
-        while (m_block.size() < 64UL * 1024) {
+        while (!filler.empty() && m_block.size() < 64UL * 1024) {
             m_block += filler;
         }
     }
     void flood()
     {
-        while (m_hasBegun && !m_hasEnded && m_socket.pendingBytes() < mebibyte && m_sent < 64 * mebibyte) {
+        while (!m_block.empty() && m_hasBegun && !m_hasEnded && m_socket.pendingBytes() < mebibyte
+               && m_sent < 64 * mebibyte) {
             m_socket.write(m_block);
             m_sent += m_block.size();
         }
@@ -149,6 +150,44 @@
 
 const std::string sound = "HTTP/1.1 200 OK\r\n";
 
+/** Sound answers that come close to a bound; nothing follows them. */
+class LargestSoundAnswerTest : public UnboundedAnswerTest
+{
+};
+
+TEST_P(LargestSoundAnswerTest, IsReceivedWhole)
+{
+    UpstreamAnswer answer;
+    const std::optional<UpstreamEnd> end = ask(answer);
+    ASSERT_TRUE(end);
+    EXPECT_EQ(*end, UpstreamEnd::Complete);
+    EXPECT_EQ(answer.status, 200);
+}
+
+const std::string empty = "Content-Length: 0\r\n\r\n";
+
+std::string repeat(const std::string &text, int times)
+{
+    std::string all;
+    for (int i = 0; i < times; ++i) {
+        all += text;
+    }
+    return all;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Places, LargestSoundAnswerTest,
+    testing::Values(
+        Flood {"LongHeaderValue", sound + "X: " + std::string(60000, 'y') + "\r\n" + empty, ""},
+        Flood {"ManyHeaders", sound + repeat("a: b\r\n", 1000) + empty, ""},
+        Flood {"InformationalAnswers", repeat("HTTP/1.1 100 Continue\r\n\r\n", 1000) + sound + empty, ""},
+        Flood {"Body", sound + "Content-Length: 1048576\r\n\r\n" + std::string(mebibyte, 'b'), ""},
+        Flood {"Chunks", sound + "Transfer-Encoding: chunked\r\n\r\n" + repeat("5\r\nhello\r\n", 100000) + "0\r\n\r\n",
+               ""}),
+    [](const testing::TestParamInfo<Flood> &info) {
+        return std::string(info.param.name);
+    });
+
 INSTANTIATE_TEST_SUITE_P(
     Places, UnboundedAnswerTest,
     testing::Values(Flood {"StatusLine", "HTTP/1.1 200 ", "OK"}, Flood {"NoHttpAtAll", "", "garbage "},
--- a/tests/serving/unboundedstreamtest.cpp
+++ b/tests/serving/unboundedstreamtest.cpp
@@ -171,6 +171,19 @@
     EXPECT_EQ(m_attempts.sent.size(), 2U);
 }
 
+// A caller that doesn't read is dropped inside the write of its stream's end, which erases the request.
+TEST_F(UnboundedStreamTest, ACallerThatIsDroppedWhileItsStreamEndsGetsNoEnd)
+{
+    const uint64_t attempt = startStream(1);
+    m_dispatcher.onAttemptBody(attempt, "id: 1\ndata: a\n\nid: 2\ndata: b\n");
+    m_callers.onAppend = [this](uint64_t exchange) {
+        m_dispatcher.onCallerGone(exchange);
+    };
+    m_dispatcher.onAttemptEnd(attempt, UpstreamEnd::Complete);
+    EXPECT_FALSE(m_callers.answers[1].isFinished);
+    EXPECT_EQ(m_dispatcher.openCount(), 0U);
+}
+
 // A booking that may have run is neither sent again nor said not to have run.
 TEST_F(UnboundedStreamTest, ABookingWhoseFailureHasNoEndIsOfUnknownOutcome)
 {
