--- a/tests/policy/crashevidencetest.cpp
+++ b/tests/policy/crashevidencetest.cpp
@@ -1,6 +1,8 @@
 #include "policy/crashevidence.h"
 
 #include "policy/crashrate.h"
+#include "policy/partshistory.h"
+#include "policy/requestfingerprint.h"
 
 #include <gtest/gtest.h>
 #include <string>
@@ -42,6 +44,29 @@
     EXPECT_EQ(evidence.findCrashing(end - Millis(1), rarely), std::nullopt) << "the last crash doesn't count yet";
 }
 
+// Only twelve ends are kept; counted from these, a request seemed to be there at few of many ends and was never found.
+TEST(CrashEvidence, ARequestThatWasThereAtManyEndsIsFoundWhereNothingProgresses)
+{
+    constexpr uint32_t manyCrashes = 40;
+    const PromptPartId request = requestFingerprint("m/a1", {part});
+    const PartsHistory nothingProgressed;
+    CrashEvidence evidence;
+    const Millis later = addCrashes(evidence, request, manyCrashes) + Millis(1000);
+    EXPECT_EQ(evidence.findNeverProgressed(nothingProgressed, later), request);
+}
+
+TEST(CrashEvidence, WhereNothingProgressesARequestNeedsFiveEndsAndAPartAHistory)
+{
+    const PromptPartId request = requestFingerprint("m/a1", {part});
+    const PartsHistory nothingProgressed;
+    CrashEvidence four;
+    EXPECT_EQ(four.findNeverProgressed(nothingProgressed, addCrashes(four, request, 4) + Millis(1000)), std::nullopt);
+    CrashEvidence five;
+    EXPECT_EQ(five.findNeverProgressed(nothingProgressed, addCrashes(five, request, 5) + Millis(1000)), request);
+    CrashEvidence shared;
+    EXPECT_EQ(shared.findNeverProgressed(nothingProgressed, addCrashes(shared, part, 40) + Millis(1000)), std::nullopt);
+}
+
 TEST(CrashEvidence, AnAnswerThatProgressesClearsThePartOfEarlierCrashes)
 {
     CrashEvidence evidence;
