Divide serving/ into folders by what happens to a request

Cause: serving/ held 79 files without structure, and several new parts are about to be added to it. No other line changes.

--- a/main/entrymetrics.cpp
+++ b/main/entrymetrics.cpp
@@ -1,6 +1,6 @@
 #include "main/entrymetrics.h"
 
-#include "serving/activerequest.h"
+#include "serving/queueing/activerequest.h"
 
 #include <map>
 #include <prometheus/counter.h>
--- a/main/entrymetrics.h
+++ b/main/entrymetrics.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "serving/requestmetrics.h"
+#include "serving/interfaces/requestmetrics.h"
 
 #include <memory>
 #include <string>
--- a/main/entrysettings.h
+++ b/main/entrysettings.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "serving/servingsettings.h"
+#include "serving/interfaces/servingsettings.h"
 
 #include <string>
 
--- a/serving/admission.cpp
+++ b/serving/admission/admission.cpp
@@ -1,7 +1,7 @@
-#include "serving/admission.h"
+#include "serving/admission/admission.h"
 
 #include "core/random.h"
-#include "serving/clientrequest.h"
+#include "serving/interfaces/clientrequest.h"
 
 #include <algorithm>
 
--- a/serving/admission.h
+++ b/serving/admission/admission.h
@@ -4,8 +4,8 @@
 #include "core/refusal.h"
 #include "core/units.h"
 #include "policy/fleetquota.h"
-#include "serving/routetable.h"
-#include "serving/servingconfig.h"
+#include "serving/admission/routetable.h"
+#include "serving/interfaces/servingconfig.h"
 
 #include <map>
 #include <memory>
--- a/serving/routetable.cpp
+++ b/serving/admission/routetable.cpp
@@ -1,6 +1,6 @@
-#include "serving/routetable.h"
+#include "serving/admission/routetable.h"
 
-#include "serving/servingconfig.h"
+#include "serving/interfaces/servingconfig.h"
 
 namespace vanillaspar::serving
 {
--- a/serving/dispatcher.cpp
+++ b/serving/dispatcher.cpp
@@ -4,14 +4,14 @@
 #include "core/clock.h"
 #include "policy/replicapause.h"
 #include "policy/requestfingerprint.h"
-#include "serving/adapterversions.h"
-#include "serving/admission.h"
-#include "serving/backendtable.h"
-#include "serving/enginechooser.h"
-#include "serving/promptguard.h"
-#include "serving/requestlog.h"
-#include "serving/residencymap.h"
-#include "serving/responsewriter.h"
+#include "serving/admission/admission.h"
+#include "serving/guards/promptguard.h"
+#include "serving/interfaces/responsewriter.h"
+#include "serving/placement/enginechooser.h"
+#include "serving/queueing/requestlog.h"
+#include "serving/replicas/adapterversions.h"
+#include "serving/replicas/backendtable.h"
+#include "serving/replicas/residencymap.h"
 
 #include <algorithm>
 #include <vector>
--- a/serving/blockedparts.cpp
+++ b/serving/guards/blockedparts.cpp
@@ -1,4 +1,4 @@
-#include "serving/blockedparts.h"
+#include "serving/guards/blockedparts.h"
 
 #include "core/error.h"
 
--- a/serving/promptguard.cpp
+++ b/serving/guards/promptguard.cpp
@@ -1,4 +1,4 @@
-#include "serving/promptguard.h"
+#include "serving/guards/promptguard.h"
 
 #include "cluster/messages/prompts.h"
 #include "core/clock.h"
@@ -7,8 +7,8 @@
 #include "core/random.h"
 #include "core/refusal.h"
 #include "policy/requestfingerprint.h"
-#include "serving/activerequest.h"
-#include "serving/backendtable.h"
+#include "serving/queueing/activerequest.h"
+#include "serving/replicas/backendtable.h"
 
 #include <algorithm>
 
--- a/serving/promptguard.h
+++ b/serving/guards/promptguard.h
@@ -5,7 +5,7 @@
 #include "policy/crashevidence.h"
 #include "policy/crashrate.h"
 #include "policy/partshistory.h"
-#include "serving/blockedparts.h"
+#include "serving/guards/blockedparts.h"
 
 #include <cstdint>
 #include <map>
--- a/serving/orderport.h
+++ b/serving/interfaces/orderport.h
@@ -2,7 +2,7 @@
 
 #include "core/ids.h"
 #include "core/units.h"
-#include "serving/backend.h"
+#include "serving/interfaces/backend.h"
 
 #include <cstdint>
 #include <functional>
--- a/serving/recorddecoder.h
+++ b/serving/interfaces/recorddecoder.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "serving/backend.h"
-#include "serving/servingconfig.h"
+#include "serving/interfaces/backend.h"
+#include "serving/interfaces/servingconfig.h"
 
 #include <cstdint>
 #include <memory>
--- a/serving/weights.cpp
+++ b/serving/interfaces/weights.cpp
@@ -1,4 +1,4 @@
-#include "serving/weights.h"
+#include "serving/interfaces/weights.h"
 
 namespace vanillaspar::serving
 {
--- a/serving/loadcoordinator.h
+++ b/serving/loadcoordinator.h
@@ -4,7 +4,7 @@
 #include "core/ids.h"
 #include "core/units.h"
 #include "policy/transferpacer.h"
-#include "serving/ownertable.h"
+#include "serving/loading/ownertable.h"
 
 #include <cstdint>
 #include <map>
--- a/serving/adapterdemand.cpp
+++ b/serving/loading/adapterdemand.cpp
@@ -1,7 +1,7 @@
-#include "serving/adapterdemand.h"
+#include "serving/loading/adapterdemand.h"
 
 #include "cluster/messages/fleet.h"
-#include "serving/adapterversions.h"
+#include "serving/replicas/adapterversions.h"
 
 #include <algorithm>
 
--- a/serving/pendingloads.cpp
+++ b/serving/loading/pendingloads.cpp
@@ -1,4 +1,4 @@
-#include "serving/pendingloads.h"
+#include "serving/loading/pendingloads.h"
 
 #include "cluster/messages/fleet.h"
 
--- a/serving/replicaorders.cpp
+++ b/serving/loading/replicaorders.cpp
@@ -1,10 +1,10 @@
-#include "serving/replicaorders.h"
+#include "serving/loading/replicaorders.h"
 
 #include "core/eventlog.h"
 #include "policy/transferpacer.h"
-#include "serving/adapterversions.h"
-#include "serving/residencymap.h"
-#include "serving/weights.h"
+#include "serving/interfaces/weights.h"
+#include "serving/replicas/adapterversions.h"
+#include "serving/replicas/residencymap.h"
 
 #include <algorithm>
 #include <utility>
--- a/serving/replicaorders.h
+++ b/serving/loading/replicaorders.h
@@ -4,10 +4,10 @@
 #include "core/ids.h"
 #include "core/recentnames.h"
 #include "core/units.h"
-#include "serving/adapterusage.h"
-#include "serving/orderport.h"
-#include "serving/pendingloads.h"
-#include "serving/servingconfig.h"
+#include "serving/interfaces/orderport.h"
+#include "serving/interfaces/servingconfig.h"
+#include "serving/loading/pendingloads.h"
+#include "serving/replicas/adapterusage.h"
 
 #include <cstdint>
 #include <functional>
--- a/serving/fleetmembers.cpp
+++ b/serving/membership/fleetmembers.cpp
@@ -1,9 +1,9 @@
-#include "serving/fleetmembers.h"
+#include "serving/membership/fleetmembers.h"
 
 #include "core/error.h"
 #include "core/hash.h"
-#include "serving/servingsettings.h"
-#include "serving/statestore.h"
+#include "serving/interfaces/servingsettings.h"
+#include "serving/interfaces/statestore.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
--- a/serving/heartbeatexchange.cpp
+++ b/serving/membership/heartbeatexchange.cpp
@@ -1,4 +1,4 @@
-#include "serving/heartbeatexchange.h"
+#include "serving/membership/heartbeatexchange.h"
 
 #include "cluster/message.h"
 #include "cluster/peerlink.h"
@@ -6,10 +6,10 @@
 #include "core/eventlog.h"
 #include "core/hash.h"
 #include "policy/fleetquota.h"
-#include "serving/admission.h"
-#include "serving/backendtable.h"
-#include "serving/fleetmembers.h"
-#include "serving/servingsettings.h"
+#include "serving/admission/admission.h"
+#include "serving/interfaces/servingsettings.h"
+#include "serving/membership/fleetmembers.h"
+#include "serving/replicas/backendtable.h"
 
 #include <optional>
 #include <set>
--- a/serving/hostregistry.cpp
+++ b/serving/membership/hostregistry.cpp
@@ -1,11 +1,11 @@
-#include "serving/hostregistry.h"
+#include "serving/membership/hostregistry.h"
 
 #include "core/clock.h"
 #include "core/eventlog.h"
-#include "serving/fleetmembers.h"
-#include "serving/recordmirror.h"
-#include "serving/servingsettings.h"
-#include "serving/statestore.h"
+#include "serving/interfaces/servingsettings.h"
+#include "serving/interfaces/statestore.h"
+#include "serving/membership/fleetmembers.h"
+#include "serving/membership/recordmirror.h"
 
 #include <nlohmann/json.hpp>
 
--- a/serving/promptrecords.cpp
+++ b/serving/membership/promptrecords.cpp
@@ -1,11 +1,11 @@
-#include "serving/promptrecords.h"
+#include "serving/membership/promptrecords.h"
 
 #include "core/clock.h"
 #include "core/eventlog.h"
-#include "serving/blockedparts.h"
-#include "serving/promptguard.h"
-#include "serving/recordmirror.h"
-#include "serving/statestore.h"
+#include "serving/guards/blockedparts.h"
+#include "serving/guards/promptguard.h"
+#include "serving/interfaces/statestore.h"
+#include "serving/membership/recordmirror.h"
 
 #include <nlohmann/json.hpp>
 
--- a/serving/recordmirror.h
+++ b/serving/membership/recordmirror.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/units.h"
-#include "serving/statestore.h"
+#include "serving/interfaces/statestore.h"
 
 #include <functional>
 #include <map>
--- a/serving/versionrecords.cpp
+++ b/serving/membership/versionrecords.cpp
@@ -1,15 +1,15 @@
-#include "serving/versionrecords.h"
+#include "serving/membership/versionrecords.h"
 
 #include "cluster/message.h"
 #include "cluster/peerlink.h"
 #include "core/clock.h"
 #include "core/error.h"
 #include "core/eventlog.h"
-#include "serving/adapterversions.h"
-#include "serving/fleetmembers.h"
-#include "serving/pollintervals.h"
-#include "serving/recorddecoder.h"
-#include "serving/residencymap.h"
+#include "serving/interfaces/recorddecoder.h"
+#include "serving/membership/fleetmembers.h"
+#include "serving/membership/pollintervals.h"
+#include "serving/replicas/adapterversions.h"
+#include "serving/replicas/residencymap.h"
 
 #include <map>
 
--- a/serving/versionrecords.h
+++ b/serving/membership/versionrecords.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "serving/recordmirror.h"
+#include "serving/membership/recordmirror.h"
 
 #include <algorithm>
 #include <string>
--- a/serving/attempttracker.cpp
+++ b/serving/placement/attempttracker.cpp
@@ -1,13 +1,13 @@
-#include "serving/attempttracker.h"
+#include "serving/placement/attempttracker.h"
 
 #include "core/clock.h"
-#include "serving/activerequest.h"
-#include "serving/attemptsender.h"
-#include "serving/backendtable.h"
-#include "serving/enginechooser.h"
-#include "serving/promptguard.h"
-#include "serving/requestlog.h"
-#include "serving/versionguard.h"
+#include "serving/guards/promptguard.h"
+#include "serving/interfaces/attemptsender.h"
+#include "serving/placement/enginechooser.h"
+#include "serving/placement/versionguard.h"
+#include "serving/queueing/activerequest.h"
+#include "serving/queueing/requestlog.h"
+#include "serving/replicas/backendtable.h"
 
 namespace vanillaspar::serving
 {
--- a/serving/enginechooser.cpp
+++ b/serving/placement/enginechooser.cpp
@@ -1,12 +1,12 @@
-#include "serving/enginechooser.h"
+#include "serving/placement/enginechooser.h"
 
 #include "core/hash.h"
 #include "core/random.h"
-#include "serving/activerequest.h"
-#include "serving/adapterversions.h"
-#include "serving/backendtable.h"
-#include "serving/residencymap.h"
-#include "serving/weights.h"
+#include "serving/interfaces/weights.h"
+#include "serving/queueing/activerequest.h"
+#include "serving/replicas/adapterversions.h"
+#include "serving/replicas/backendtable.h"
+#include "serving/replicas/residencymap.h"
 
 #include <algorithm>
 #include <utility>
--- a/serving/enginechooser.h
+++ b/serving/placement/enginechooser.h
@@ -4,7 +4,7 @@
 #include "core/units.h"
 #include "policy/firsteventestimate.h"
 #include "policy/urgencymix.h"
-#include "serving/replicachoice.h"
+#include "serving/replicas/replicachoice.h"
 
 #include <cstdint>
 #include <functional>
--- a/serving/servicechooser.cpp
+++ b/serving/placement/servicechooser.cpp
@@ -1,7 +1,7 @@
-#include "serving/servicechooser.h"
+#include "serving/placement/servicechooser.h"
 
-#include "serving/activerequest.h"
-#include "serving/backendtable.h"
+#include "serving/queueing/activerequest.h"
+#include "serving/replicas/backendtable.h"
 
 #include <algorithm>
 #include <vector>
--- a/serving/servicechooser.h
+++ b/serving/placement/servicechooser.h
@@ -2,7 +2,7 @@
 
 #include "core/ids.h"
 #include "core/units.h"
-#include "serving/replicachoice.h"
+#include "serving/replicas/replicachoice.h"
 
 namespace vanillaspar::serving
 {
--- a/serving/versionguard.cpp
+++ b/serving/placement/versionguard.cpp
@@ -1,10 +1,10 @@
-#include "serving/versionguard.h"
+#include "serving/placement/versionguard.h"
 
 #include "core/clock.h"
-#include "serving/activerequest.h"
-#include "serving/adapterversions.h"
-#include "serving/requestlog.h"
-#include "serving/residencymap.h"
+#include "serving/queueing/activerequest.h"
+#include "serving/queueing/requestlog.h"
+#include "serving/replicas/adapterversions.h"
+#include "serving/replicas/residencymap.h"
 
 namespace vanillaspar::serving
 {
--- a/serving/activerequest.cpp
+++ b/serving/queueing/activerequest.cpp
@@ -1,9 +1,9 @@
-#include "serving/activerequest.h"
+#include "serving/queueing/activerequest.h"
 
 #include "core/hash.h"
 #include "net/httphead.h"
-#include "serving/admission.h"
-#include "serving/attemptsender.h"
+#include "serving/admission/admission.h"
+#include "serving/interfaces/attemptsender.h"
 
 #include <algorithm>
 
--- a/serving/activerequest.h
+++ b/serving/queueing/activerequest.h
@@ -4,9 +4,9 @@
 #include "core/eventscanner.h"
 #include "core/ids.h"
 #include "core/units.h"
-#include "serving/clientrequest.h"
-#include "serving/replicachoice.h"
-#include "serving/servingconfig.h"
+#include "serving/interfaces/clientrequest.h"
+#include "serving/interfaces/servingconfig.h"
+#include "serving/replicas/replicachoice.h"
 
 #include <cstdint>
 #include <memory>
--- a/serving/requestlog.cpp
+++ b/serving/queueing/requestlog.cpp
@@ -1,10 +1,10 @@
-#include "serving/requestlog.h"
+#include "serving/queueing/requestlog.h"
 
 #include "core/eventlog.h"
 #include "policy/retrybudget.h"
-#include "serving/activerequest.h"
-#include "serving/requestmetrics.h"
-#include "serving/requesttable.h"
+#include "serving/interfaces/requestmetrics.h"
+#include "serving/queueing/activerequest.h"
+#include "serving/queueing/requesttable.h"
 
 namespace vanillaspar::serving
 {
--- a/serving/requesttable.cpp
+++ b/serving/queueing/requesttable.cpp
@@ -1,7 +1,7 @@
-#include "serving/requesttable.h"
+#include "serving/queueing/requesttable.h"
 
 #include "cluster/messages/fleet.h"
-#include "serving/activerequest.h"
+#include "serving/queueing/activerequest.h"
 
 namespace vanillaspar::serving
 {
--- a/serving/stopgate.cpp
+++ b/serving/queueing/stopgate.cpp
@@ -1,8 +1,8 @@
-#include "serving/stopgate.h"
+#include "serving/queueing/stopgate.h"
 
 #include "core/refusal.h"
-#include "serving/activerequest.h"
-#include "serving/admission.h"
+#include "serving/admission/admission.h"
+#include "serving/queueing/activerequest.h"
 
 namespace vanillaspar::serving
 {
--- a/serving/waitingqueue.cpp
+++ b/serving/queueing/waitingqueue.cpp
@@ -1,6 +1,6 @@
-#include "serving/waitingqueue.h"
+#include "serving/queueing/waitingqueue.h"
 
-#include "serving/activerequest.h"
+#include "serving/queueing/activerequest.h"
 
 #include <set>
 
--- a/serving/adapterusage.cpp
+++ b/serving/replicas/adapterusage.cpp
@@ -1,4 +1,4 @@
-#include "serving/adapterusage.h"
+#include "serving/replicas/adapterusage.h"
 
 #include "cluster/messages/fleet.h"
 
--- a/serving/adapterversions.cpp
+++ b/serving/replicas/adapterversions.cpp
@@ -1,4 +1,4 @@
-#include "serving/adapterversions.h"
+#include "serving/replicas/adapterversions.h"
 
 #include <algorithm>
 
--- a/serving/backendtable.cpp
+++ b/serving/replicas/backendtable.cpp
@@ -1,4 +1,4 @@
-#include "serving/backendtable.h"
+#include "serving/replicas/backendtable.h"
 
 #include "cluster/messages/fleet.h"
 #include "core/hash.h"
--- a/serving/backendtable.h
+++ b/serving/replicas/backendtable.h
@@ -4,8 +4,8 @@
 #include "core/units.h"
 #include "policy/replicapace.h"
 #include "policy/replicapause.h"
-#include "serving/backend.h"
-#include "serving/replicaload.h"
+#include "serving/interfaces/backend.h"
+#include "serving/interfaces/replicaload.h"
 
 #include <algorithm>
 #include <cstdint>
--- a/serving/replicachoice.cpp
+++ b/serving/replicas/replicachoice.cpp
@@ -1,6 +1,6 @@
-#include "serving/replicachoice.h"
+#include "serving/replicas/replicachoice.h"
 
-#include "serving/backendtable.h"
+#include "serving/replicas/backendtable.h"
 
 #include <algorithm>
 
--- a/serving/replicanotices.cpp
+++ b/serving/replicas/replicanotices.cpp
@@ -1,9 +1,9 @@
-#include "serving/replicanotices.h"
+#include "serving/replicas/replicanotices.h"
 
 #include "core/clock.h"
 #include "core/eventlog.h"
-#include "serving/backendtable.h"
-#include "serving/requestmetrics.h"
+#include "serving/interfaces/requestmetrics.h"
+#include "serving/replicas/backendtable.h"
 
 namespace vanillaspar::serving
 {
--- a/serving/replicanotices.h
+++ b/serving/replicas/replicanotices.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/units.h"
-#include "serving/replicanotice.h"
+#include "serving/interfaces/replicanotice.h"
 
 namespace vanillaspar
 {
--- a/serving/residencymap.cpp
+++ b/serving/replicas/residencymap.cpp
@@ -1,7 +1,7 @@
-#include "serving/residencymap.h"
+#include "serving/replicas/residencymap.h"
 
 #include "cluster/messages/fleet.h"
-#include "serving/backend.h"
+#include "serving/interfaces/backend.h"
 
 namespace vanillaspar::serving
 {
--- a/serving/residencymap.h
+++ b/serving/replicas/residencymap.h
@@ -3,7 +3,7 @@
 #include "core/ids.h"
 #include "core/recentnames.h"
 #include "core/units.h"
-#include "serving/backend.h"
+#include "serving/interfaces/backend.h"
 
 #include <cstdint>
 #include <map>
--- a/serving/servingnode.cpp
+++ b/serving/servingnode.cpp
@@ -4,7 +4,7 @@
 #include "core/clock.h"
 #include "core/error.h"
 #include "core/eventlog.h"
-#include "serving/responsewriter.h"
+#include "serving/interfaces/responsewriter.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
--- a/tests/fakes/dispatchfixture.h
+++ b/tests/fakes/dispatchfixture.h
@@ -1,15 +1,15 @@
 #pragma once
 
 #include "core/random.h"
-#include "serving/adapterversions.h"
-#include "serving/admission.h"
-#include "serving/backendtable.h"
+#include "serving/admission/admission.h"
 #include "serving/dispatcher.h"
-#include "serving/enginechooser.h"
-#include "serving/promptguard.h"
-#include "serving/replicanotices.h"
-#include "serving/requestlog.h"
-#include "serving/residencymap.h"
+#include "serving/guards/promptguard.h"
+#include "serving/placement/enginechooser.h"
+#include "serving/queueing/requestlog.h"
+#include "serving/replicas/adapterversions.h"
+#include "serving/replicas/backendtable.h"
+#include "serving/replicas/replicanotices.h"
+#include "serving/replicas/residencymap.h"
 #include "tests/fakes/servingfakes.h"
 
 #include <memory>
--- a/tests/fakes/fleetstore.h
+++ b/tests/fakes/fleetstore.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "serving/statestore.h"
+#include "serving/interfaces/statestore.h"
 #include "tests/fakes/virtualclock.h"
 
 #include <map>
--- a/tests/fakes/lateengine.h
+++ b/tests/fakes/lateengine.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/random.h"
-#include "serving/orderport.h"
+#include "serving/interfaces/orderport.h"
 
 #include <cstdint>
 #include <deque>
--- a/tests/platform/storeclienttest.cpp
+++ b/tests/platform/storeclienttest.cpp
@@ -6,7 +6,7 @@
 #include "net/httpupstream.h"
 #include "net/loop.h"
 #include "platform/recorddecoder.h"
-#include "serving/recordmirror.h"
+#include "serving/membership/recordmirror.h"
 #include "tests/fakes/scriptedreplica.h"
 #include "tests/fakes/servingfakes.h"
 #include "tests/fakes/testport.h"
--- a/tests/serving/endofprocesstest.cpp
+++ b/tests/serving/endofprocesstest.cpp
@@ -1,6 +1,6 @@
-#include "serving/activerequest.h"
-#include "serving/requestlog.h"
-#include "serving/requesttable.h"
+#include "serving/queueing/activerequest.h"
+#include "serving/queueing/requestlog.h"
+#include "serving/queueing/requesttable.h"
 #include "tests/fakes/servingnodefixture.h"
 
 namespace vanillaspar::serving
--- a/tests/serving/enginechoosertest.cpp
+++ b/tests/serving/enginechoosertest.cpp
@@ -1,7 +1,7 @@
 #include "cluster/messages/fleet.h"
 #include "core/random.h"
-#include "serving/activerequest.h"
 #include "serving/dispatcher.h"
+#include "serving/queueing/activerequest.h"
 #include "tests/fakes/dispatchfixture.h"
 
 #include <deque>
--- a/tests/serving/heartbeatexchangetest.cpp
+++ b/tests/serving/heartbeatexchangetest.cpp
@@ -1,11 +1,11 @@
-#include "serving/heartbeatexchange.h"
+#include "serving/membership/heartbeatexchange.h"
 
 #include "core/random.h"
 #include "policy/fleetquota.h"
-#include "serving/admission.h"
-#include "serving/backendtable.h"
-#include "serving/fleetmembers.h"
-#include "serving/servingsettings.h"
+#include "serving/admission/admission.h"
+#include "serving/interfaces/servingsettings.h"
+#include "serving/membership/fleetmembers.h"
+#include "serving/replicas/backendtable.h"
 #include "tests/fakes/servingfakes.h"
 
 #include <deque>
--- a/tests/serving/lateorderstest.cpp
+++ b/tests/serving/lateorderstest.cpp
@@ -1,8 +1,8 @@
 #include "core/random.h"
 #include "policy/transferpacer.h"
-#include "serving/adapterversions.h"
-#include "serving/replicaorders.h"
-#include "serving/residencymap.h"
+#include "serving/loading/replicaorders.h"
+#include "serving/replicas/adapterversions.h"
+#include "serving/replicas/residencymap.h"
 #include "tests/fakes/lateengine.h"
 #include "tests/fakes/servingfakes.h"
 
--- a/tests/serving/ownertabletest.cpp
+++ b/tests/serving/ownertabletest.cpp
@@ -1,4 +1,4 @@
-#include "serving/ownertable.h"
+#include "serving/loading/ownertable.h"
 
 #include "core/error.h"
 
--- a/tests/serving/promptguardtest.cpp
+++ b/tests/serving/promptguardtest.cpp
@@ -1,4 +1,4 @@
-#include "serving/promptguard.h"
+#include "serving/guards/promptguard.h"
 
 #include "cluster/messages/prompts.h"
 #include "core/refusal.h"
--- a/tests/serving/recordmirrortest.cpp
+++ b/tests/serving/recordmirrortest.cpp
@@ -1,4 +1,4 @@
-#include "serving/recordmirror.h"
+#include "serving/membership/recordmirror.h"
 
 #include "core/random.h"
 #include "tests/fakes/servingfakes.h"
--- a/tests/serving/replicanoticestest.cpp
+++ b/tests/serving/replicanoticestest.cpp
@@ -1,4 +1,4 @@
-#include "serving/replicanotices.h"
+#include "serving/replicas/replicanotices.h"
 
 #include "core/random.h"
 #include "tests/fakes/dispatchfixture.h"
--- a/tests/serving/replicaorderstest.cpp
+++ b/tests/serving/replicaorderstest.cpp
@@ -1,9 +1,9 @@
-#include "serving/replicaorders.h"
+#include "serving/loading/replicaorders.h"
 
 #include "cluster/messages/fleet.h"
 #include "policy/transferpacer.h"
-#include "serving/adapterversions.h"
-#include "serving/residencymap.h"
+#include "serving/replicas/adapterversions.h"
+#include "serving/replicas/residencymap.h"
 #include "tests/fakes/servingfakes.h"
 
 #include <gtest/gtest.h>
