Add switches for features of the serving core, settings for cold replicas and evacuations, and the page for hard load

Cause: new parts must take effect only where a deployment asks for them, and need switches before they are built side by side. Change: ServingFeatures (setting features; by default derived from the policies in force, in platform/), cold-overshoot, cold-slack, evacuation-limit-ms; all off by default. docs/design/hardload.md states what the parts must do. Result: no feature is switched on yet; tests PolicyFeatures.*.

--- a/main/entrysettings.cpp
+++ b/main/entrysettings.cpp
@@ -4,6 +4,7 @@
 #include "config/yamlsource.h"
 #include "main/settingschecks.h"
 #include "net/endpoint.h"
+#include "platform/policyfeatures.h"
 
 namespace vanillaspar
 {
@@ -27,6 +28,9 @@
         {"capacity", &ServingSettings::capacity, false},
         {"retry-ratio", &ServingSettings::retryRatio, false},
         {"retry-allowance", &ServingSettings::retryAllowance, false},
+        {"cold-overshoot", &ServingSettings::coldOvershoot, false},
+        {"cold-slack", &ServingSettings::coldSlack, false},
+        {"evacuation-limit-ms", &ServingSettings::evacuationLimit, false},
     });
 
 const FieldTable<EntrySettings, std::string EntrySettings::*> entryFields({
@@ -36,6 +40,8 @@
     {"store-address", &EntrySettings::storeAddress, true},
     {"cluster-secret", &EntrySettings::clusterSecret, true},
     {"log-format", &EntrySettings::logFormat, false},
+    {"policies", &EntrySettings::policies, false},
+    {"features", &EntrySettings::features, false},
 });
 
 /** Times that the platform names in seconds, with fractions. */
@@ -59,6 +65,20 @@
     }
 }
 
+serving::ServingFeatures readFeatures(const EntrySettings &settings)
+{
+    if (settings.features == "none") {
+        return {};
+    }
+    const std::string names
+        = settings.features.empty() ? platform::featuresForPolicies(settings.policies) : settings.features;
+    try {
+        return serving::ServingFeatures::fromNames(names);
+    } catch (const DocumentError &error) {
+        throw DocumentError(std::string("/features: ") + error.what());
+    }
+}
+
 void check(const EntrySettings &settings)
 {
     checkAddress("peer-address", settings.serving.peerAddress);
@@ -76,6 +96,10 @@
         || settings.serving.retryWindow.value < 1) {
         throw DocumentError("/revoke-limit-ms: must be above 0, like the other times");
     }
+    if (settings.serving.coldOvershoot < 0 || settings.serving.coldSlack < 0
+        || settings.serving.evacuationLimit.value < 0) {
+        throw DocumentError("/cold-overshoot: must not be negative, like cold-slack and evacuation-limit-ms");
+    }
     if (settings.serving.capacity <= 0) {
         throw DocumentError("/capacity: must be above 0");
     }
@@ -94,6 +118,7 @@
         settings.serving.shutdownGrace = fromSeconds(seconds.shutdownGrace);
         settings.serving.retryWindow = fromSeconds(seconds.retryWindow);
         check(settings);
+        settings.serving.features = readFeatures(settings);
         return settings;
     } catch (const DocumentError &error) {
         throw DocumentError(source.withLocation(error.what()));
--- a/main/entrysettings.h
+++ b/main/entrysettings.h
@@ -17,6 +17,9 @@
     std::string storeAddress;
     std::string clusterSecret; ///< Shared by all hosts; authenticates their messages.
     std::string logFormat = "json";
+    std::string policies; ///< Names of the platform's policies in force, separated by commas.
+    std::string
+        features; ///< Features of the serving core to switch on, "none", or empty for those that the policies need.
 
     /**
      * Reads settings in YAML.
--- a/serving/interfaces/servingsettings.h
+++ b/serving/interfaces/servingsettings.h
@@ -2,6 +2,7 @@
 
 #include "core/ids.h"
 #include "core/units.h"
+#include "serving/interfaces/servingfeatures.h"
 
 #include <string>
 
@@ -24,6 +25,12 @@
     double retryRatio = 0.2; ///< Retry budget of a pool over all hosts: retries for each request in the window.
     double retryAllowance = 52; ///< Retries allowed over all hosts in addition to the ratio.
     Millis retryWindow {10000}; ///< Window in which requests and retries are counted.
+    /** Requests that a cold replica may get in a second over all hosts, as a multiple of its pool's cold rate; 0 if
+     * cold replicas aren't limited. */
+    double coldOvershoot = 0;
+    double coldSlack = 0; ///< Requests that it may get in a second in addition.
+    Millis evacuationLimit {0}; ///< Time after which an evacuated failure domain gets nothing more; 0 without any.
+    ServingFeatures features; ///< That the deployment asks for.
 };
 
 }
