Load an adapter where a slot for it is free or can be freed at once (feature adapter-placement)

Ruled out: the pacer (durations 240 to 280 ms, hosts' transfers under way up to 16, no plateau). One engine got no load for 0.85 s: all of its nine adapter slots were in use, though only nine to eleven of its twelve request slots were, and requests waited for it because it was the adapter's preferred engine. Change: LoadTargetSearch passes over engines that can't start a load at once: fewer requests than adapter slots must run there.

--- a/serving/placement/enginechooser.cpp
+++ b/serving/placement/enginechooser.cpp
@@ -3,6 +3,7 @@
 #include "core/hash.h"
 #include "core/random.h"
 #include "serving/interfaces/weights.h"
+#include "serving/placement/loadtargetsearch.h"
 #include "serving/queueing/activerequest.h"
 #include "serving/replicas/adapterversions.h"
 #include "serving/replicas/backendtable.h"
@@ -19,10 +20,6 @@
 
 // A replica of the own domain is preferred at about equal load. A failure rate of a tenth counts as a fifth more load.
 constexpr ReplicaPenalties penalties {0.04, 2.0, 10.0};
-// Above this load a replica still takes requests, but loading the adapter on another replica pays off.
-constexpr double spreadThreshold = 0.85;
-// All slots are in use. Further requests would queue at the replica and could no longer be sent to another one.
-constexpr double fullLoad = 1.0;
 // Part of its objective for which a request that is late anyhow may wait for other prompts at its replica.
 constexpr double lateQueueFraction = 0.15;
 constexpr double newestDurationWeight = 0.05;
@@ -72,7 +69,7 @@
 bool EngineChooser::hasRoom(const BackendState &state, const ActiveRequest &active, const EngineSpec &engine,
                             Millis now) const
 {
-    if (state.slotLoad() >= fullLoad) {
+    if (state.slotLoad() >= LoadTargetSearch::fullLoad) {
         return false;
     }
     if (engine.cacheTokens == 0) {
@@ -133,7 +130,7 @@
     const std::optional<Millis> pausedUntil = removePaused(usable, now);
     const Holders holders = evaluateHolders(active, usable, engine, now);
     ReplicaChoice choice {holders.best, nullptr, hasCandidates, pausedUntil, holders.availability};
-    if (!holders.availability.hasPendingLoad && holders.leastLoad >= spreadThreshold) {
+    if (!holders.availability.hasPendingLoad && holders.leastLoad >= LoadTargetSearch::spreadThreshold) {
         choice.loadTarget = chooseLoadTarget(active, usable, engine, holders.best == nullptr, now);
     }
     return choice;
@@ -204,10 +201,19 @@
     const std::string &weights = active.request.weights;
     const int64_t required = m_versions.minimumVersion(weights, now);
     const std::vector<BackendState *> preferred = preferredReplicas(weights, usable);
+    if (m_loadsWhereSlotsAreFree) {
+        const LoadTargetSearch search {m_residency, weights, required, engine.adapterSlots, now};
+        BackendState *target = search.find(preferred, [&](const BackendState &state) {
+            return loadOf(state, active, engine, now);
+        });
+        if (target != nullptr || !isUrgent) {
+            return target;
+        }
+    }
     for (BackendState *state : preferred) {
         const bool isCached = m_residency.find(state->info.id, weights) == nullptr
             && m_residency.wasHeldLately(state->info.id, weights);
-        if (isCached && now >= state->avoidUntil && loadOf(*state, active, engine, now) < fullLoad) {
+        if (isCached && now >= state->avoidUntil && loadOf(*state, active, engine, now) < LoadTargetSearch::fullLoad) {
             return state;
         }
     }
@@ -215,7 +221,8 @@
     for (BackendState *state : preferred) {
         const AdapterResidency *residence = m_residency.find(state->info.id, weights);
         const bool isHolder = residence != nullptr && (residence->version >= required || residence->readyAt > now);
-        if (!isHolder && loadOf(*state, active, engine, now) < spreadThreshold && now >= state->avoidUntil) {
+        if (!isHolder && loadOf(*state, active, engine, now) < LoadTargetSearch::spreadThreshold
+            && now >= state->avoidUntil) {
             return state;
         }
         if (residence == nullptr && firstWithout == nullptr) {
--- a/serving/placement/enginechooser.h
+++ b/serving/placement/enginechooser.h
@@ -60,6 +60,11 @@
      * @return the replica to send to and the replica to load the adapter on; either may be nullptr.
      */
     ReplicaChoice choose(const ActiveRequest &active, const EngineSpec &engine, Millis now);
+    /** Sets whether an adapter is loaded where a slot for it is free or can be freed at once. */
+    void setLoadsWhereSlotsAreFree(bool isOn)
+    {
+        m_loadsWhereSlotsAreFree = isOn;
+    }
     /** A request is about to be sent to @p backend: records the prompt tokens that are ahead of its first event. */
     void onSending(ActiveRequest &active, const BackendState &backend);
     /** The first event of a request's response arrived. */
@@ -127,6 +132,7 @@
     Random &m_random;
     FirstEventEstimate m_firstEvents; ///< Of all engines that this host has sent requests to.
     UrgencyMix m_urgencyMix;
+    bool m_loadsWhereSlotsAreFree = false;
     double m_meanDuration = 0; ///< Milliseconds from sending a request to its complete response; 0 if none is known.
 };
 
--- a/serving/replicas/residencymap.cpp
+++ b/serving/replicas/residencymap.cpp
@@ -2,6 +2,7 @@
 
 #include "cluster/messages/fleet.h"
 #include "serving/interfaces/backend.h"
+#include "serving/interfaces/weights.h"
 
 namespace vanillaspar::serving
 {
@@ -145,6 +146,23 @@
     return residency == residencies.end() ? nullptr : &residency->second;
 }
 
+AdapterSlotUse ResidencyMap::slotUse(const ReplicaId &replica, Millis now) const
+{
+    AdapterSlotUse use;
+    const auto entry = m_replicas.find(replica);
+    if (entry == m_replicas.end()) {
+        return use;
+    }
+    for (const std::string &weights : entry->second.weights) {
+        const AdapterResidency *residency = adapterOf(weights).empty() ? nullptr : find(replica, weights);
+        if (residency != nullptr) {
+            ++use.resident;
+            use.loading += residency->readyAt > now ? 1 : 0;
+        }
+    }
+    return use;
+}
+
 const std::map<ReplicaId, AdapterResidency> &ResidencyMap::holders(const std::string &weights) const
 {
     static const std::map<ReplicaId, AdapterResidency> none;
--- a/serving/replicas/residencymap.h
+++ b/serving/replicas/residencymap.h
@@ -34,6 +34,13 @@
     }
 };
 
+/** The adapter slots of a replica that are in use. */
+struct AdapterSlotUse
+{
+    int64_t resident = 0; ///< Adapters, those being loaded included.
+    int64_t loading = 0; ///< Adapters being loaded.
+};
+
 /**
  * Tracks which weights are resident in which replica.
  *
@@ -81,6 +88,8 @@
      *     own memory and loads it much faster than others.
      */
     bool wasHeldLately(const ReplicaId &replica, const std::string &weights) const;
+    /** @return how many of a replica's adapter slots are in use, by the last report. */
+    AdapterSlotUse slotUse(const ReplicaId &replica, Millis now) const;
     /** @return the replicas in which the adapter is resident or being loaded. */
     const std::map<ReplicaId, AdapterResidency> &holders(const std::string &weights) const;
 
--- a/serving/servingnode.cpp
+++ b/serving/servingnode.cpp
@@ -135,6 +135,7 @@
 {
     m_settings = settings;
     m_versions.setLimit(m_settings.versionLimit);
+    m_chooser.setLoadsWhereSlotsAreFree(m_settings.features.adapterPlacement);
 }
 
 void ServingNode::onConfiguration(const std::vector<StoredRecord> &records)
