End answers as truncated when a write has met the reset, and refuse statuses that no answer has

Cause: a failed send() takes the reset off the socket, the next recv() returns 0 and the end read as one in order, so that an answer without a length looked complete. StreamSocket now remembers the failed write and reports a reset; what the peer sent before is still read. All users of StreamSocket get it: streams, resumption, plain services, the store. A successful answer without a length whose request isn't written yet at the end in order is no complete one either. A status outside 100 to 599, 101, and an interim answer as the last one end as malformed. A socket's queue grows by 1 MiB at most beyond 1 MiB, and its memory is freed when it is empty; a sent body is freed and no longer kept as capacity.

--- a/net/httpupstream.cpp
+++ b/net/httpupstream.cpp
@@ -26,7 +26,12 @@
 // Taken off the time that a server names, for the way of the request and for its clock.
 constexpr Millis keepAliveMargin(400);
 constexpr Millis longestKeepAlive(30000);
+constexpr int firstStatus = 100;
+constexpr int switchingProtocols = 101; // never asked for
 constexpr int firstFinalStatus = 200;
+constexpr int firstErrorStatus = 400;
+constexpr int lastStatus = 599;
+constexpr size_t smallBody = 64UL * 1024; // bytes that go into one write with their head
 
 Millis keepAliveOf(const HttpHead &head)
 {
@@ -56,11 +61,14 @@
     uint64_t exchange = 0; ///< 0 while it is idle.
     uint64_t sentBefore = 0; ///< Bytes of earlier requests.
     size_t unassignedBytes = 0; ///< Received for the exchange without being its body.
+    int status = 0; ///< Of the answer; 0 before its head.
     size_t bodyBytes = 0; ///< Received of its body.
     Millis startedAt;
     Millis idleSince;
     Millis keepAlive;
     bool isFresh = true; ///< Whether no exchange was completed on it yet.
+    bool isMalformed = false; ///< Whether its status is none that an answer has.
+    bool isInterim = false; ///< Whether the last message was an interim answer.
     bool isForeign = false; ///< Whether the response being read belongs to an earlier request.
     bool isUnusable = false; ///< Whether it must be closed after this exchange.
 
@@ -71,6 +79,14 @@
     {
         return unassignedBytes > maxUnassignedBytes || (request.maxBodyBytes > 0 && bodyBytes > request.maxBodyBytes);
     }
+    /**
+     * @return whether the end of the connection in order completes the answer. The start of a successful answer that
+     * came before the whole request was written can't be told from a truncated one.
+     */
+    bool isCompletedByEnd() const
+    {
+        return !isForeign && reader->hasHead() && (socket->pendingBytes() == 0 || status >= firstErrorStatus);
+    }
     /** @return whether a response answers the current request, by the header that repeats the request's own one. */
     bool isEchoed(const HttpHead &head) const;
 };
@@ -89,12 +105,14 @@
 
 void HttpUpstream::Connection::onHead(HttpHead &head)
 {
-    const bool isInterim = head.status < firstFinalStatus;
-    isForeign = isInterim || !isEchoed(head);
+    isMalformed = head.status < firstStatus || head.status > lastStatus || head.status == switchingProtocols;
+    isInterim = head.status < firstFinalStatus && !isMalformed;
+    isForeign = isMalformed || isInterim || !isEchoed(head);
     if (isForeign) {
         isUnusable = isUnusable || !isInterim;
         return;
     }
+    status = head.status;
     isUnusable = isUnusable || !head.isKeepAlive;
     keepAlive = keepAliveOf(head);
     if (request.method == "HEAD") {
@@ -219,7 +237,10 @@
     connection.sentBefore = connection.socket->bytesSent();
     connection.unassignedBytes = 0;
     connection.bodyBytes = 0;
+    connection.status = 0;
     connection.isForeign = false;
+    connection.isMalformed = false;
+    connection.isInterim = false;
     connection.reader->reset();
     m_connectionByExchange[exchange] = connection.id;
     const UpstreamRequest &sent = connection.request;
@@ -235,10 +256,15 @@
         text += "Content-Length: " + std::to_string(sent.body.size()) + "\r\n";
     }
     text += "\r\n";
-    text += sent.body;
-    connection.socket->write(text);
+    if (sent.body.size() <= smallBody) {
+        text += sent.body;
+        connection.socket->write(text);
+    } else {
+        connection.socket->write(text);
+        connection.socket->write(sent.body);
+    }
     if (!connection.request.isRepeatable) {
-        connection.request.body.clear();
+        std::string().swap(connection.request.body);
     }
 }
 
@@ -261,7 +287,7 @@
         }
         data.remove_prefix(std::min(consumed, data.size()));
         connection.unassignedBytes += isOwnBody ? 0 : consumed;
-        if (connection.isUnbounded()) {
+        if (connection.isUnbounded() || connection.isMalformed) {
             end(connection, UpstreamEnd::Malformed, false);
             return;
         }
@@ -306,7 +332,11 @@
         end(connection, UpstreamEnd::NotSent, false);
         return;
     }
-    if (how == SocketEnd::Closed && !connection.isForeign && connection.reader->hasHead()
+    if (how == SocketEnd::Closed && connection.isInterim) {
+        end(connection, UpstreamEnd::Malformed, false);
+        return;
+    }
+    if (how == SocketEnd::Closed && connection.isCompletedByEnd()
         && connection.reader->finish() == HttpReader::State::Complete) {
         end(connection, UpstreamEnd::Complete, false);
         return;
--- a/net/streamsocket.cpp
+++ b/net/streamsocket.cpp
@@ -3,6 +3,7 @@
 #include "core/error.h"
 #include "net/descriptorwatch.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <fcntl.h>
 #include <netinet/in.h>
@@ -20,6 +21,8 @@
 constexpr int readsPerWakeup = 8; // so that one busy peer doesn't hold up the others
 // Milliseconds without acknowledgement until a connection counts as dead: a few retransmissions on these links.
 constexpr unsigned int unacknowledgedLimit = 1500;
+constexpr size_t growthStep = 1024UL * 1024; // bytes that the queue's capacity grows by at most
+constexpr size_t keptCapacity = 16UL * 1024; // bytes that an empty queue keeps for the next write
 constexpr size_t compactThreshold = 64UL * 1024; // bytes written that are still kept in the queue
 
 /** @return the error that the socket has met since the last call; 0 if none. */
@@ -95,7 +98,7 @@
     if (m_isEnded) {
         return;
     }
-    m_pending.append(data);
+    queue(data);
     if (m_isConnected) {
         flush();
     }
@@ -110,6 +113,18 @@
     m_watch->requestWritable();
 }
 
+void StreamSocket::queue(std::string_view data)
+{
+    const size_t size = m_pending.size() + data.size();
+    if (size > m_pending.capacity() && size > growthStep) {
+        std::string grown;
+        grown.reserve(std::max(size, m_pending.capacity() + growthStep));
+        grown.append(m_pending);
+        m_pending.swap(grown);
+    }
+    m_pending.append(data);
+}
+
 void StreamSocket::flush()
 {
     while (m_offset < m_pending.size()) {
@@ -119,7 +134,9 @@
             if (errno == EINTR) {
                 continue;
             }
-            // Other errors show when the socket is read, which also yields what the peer still sent.
+            // What the peer still sent is read before the connection ends. The failed call has taken the error off the
+            // socket, so that its end would look like one in order.
+            m_hasFailed = m_hasFailed || (errno != EAGAIN && errno != EWOULDBLOCK);
             m_watch->requestWritable();
             break;
         }
@@ -129,8 +146,11 @@
     if (m_offset == m_pending.size()) {
         m_pending.clear();
         m_offset = 0;
-    } else if (m_offset > compactThreshold) {
-        m_pending.erase(0, m_offset);
+        if (m_pending.capacity() > keptCapacity) {
+            std::string().swap(m_pending);
+        }
+    } else if (m_offset > compactThreshold && m_offset >= m_pending.size() / 2) {
+        m_pending = m_pending.substr(m_offset);
         m_offset = 0;
     }
 }
@@ -187,7 +207,7 @@
             continue;
         }
         if (length == 0) {
-            end(SocketEnd::Closed);
+            end(m_hasFailed ? SocketEnd::Reset : SocketEnd::Closed);
             return;
         }
         if (errno == EINTR) {
--- a/net/streamsocket.h
+++ b/net/streamsocket.h
@@ -65,6 +65,11 @@
     {
         return m_pending.size() - m_offset;
     }
+    /** @return bytes of memory that the bytes that wait take. */
+    size_t pendingMemory() const
+    {
+        return m_pending.capacity();
+    }
     /** @return bytes handed to the operating system so far; they may have reached the peer. */
     uint64_t bytesSent() const
     {
@@ -77,6 +82,8 @@
     void onReadable();
     void onWritable();
     void onClosing();
+    /** Adds to the queue; its capacity grows in steps and not to the double. */
+    void queue(std::string_view data);
     void flush();
     void end(SocketEnd how);
 
@@ -88,6 +95,7 @@
     uint64_t m_bytesSent = 0;
     bool m_isConnected = false;
     bool m_isEnded = false;
+    bool m_hasFailed = false; ///< Whether a write met an error, so that the end of the connection isn't in order.
     bool m_isFinishing = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); ///< Cleared by the destructor.
 };
