Bound the memory that all callers' requests make a host keep

Cause: a body was appended as it arrived and compared with the limit of its own request only, also after it was known to be too large; nothing bounded all of them together, nor requests that wait for replicas. CallerBudget counts the capacity of heads, bodies, bytes behind a request, and requests being handled (twice: the copy for a retry and the one for the replica). Beyond it unfinished requests give way, those without progress first (408, 503; 429 for an address with three quarters of the budget); large requests are refused unrun (503) beyond three quarters. A body without a byte for the idle time, or without 1 KiB in 2 s while half of the budget is in use, ends with 408. Refusals carry Retry-After. New setting memory-limit-mb, event 520, two gauges. Freed bodies go back to the system: the threshold for mappings of their own is fixed at 128 KiB. Ruled out: less time for a body (a slow caller needs 30 s for the largest), a number of large bodies at once (depends on their size), not reading while memory is short (who stopped keeps its memory).

--- a/core/buffershares.h
+++ b/core/buffershares.h
@@ -25,6 +25,12 @@
     {
     }
 
+    /** Changes the bounds; see the constructor. */
+    void setLimits(size_t requestLimit, size_t totalLimit)
+    {
+        m_requestLimit = requestLimit;
+        m_totalLimit = totalLimit;
+    }
     /** Records that a request keeps @p bytes now; 0 forgets the request. */
     void update(uint64_t exchange, size_t bytes);
     /** @return the request that has to give up its bytes because a limit is exceeded, or nothing. */
--- a/core/eventcode.cpp
+++ b/core/eventcode.cpp
@@ -57,6 +57,7 @@
         {EventCode::AnswerOutdated, Severity::Warning, "answer-outdated"},
         {EventCode::RequestWithdrawn, Severity::Info, "request-withdrawn"},
         {EventCode::RequestUnanswered, Severity::Warning, "request-unanswered"},
+        {EventCode::CallersGivenUp, Severity::Warning, "callers-given-up"},
         {EventCode::MessageRejected, Severity::Warning, "message-rejected"},
         {EventCode::LinesDropped, Severity::Warning, "lines-dropped"},
     };
--- a/core/eventcode.h
+++ b/core/eventcode.h
@@ -58,6 +58,7 @@
     AnswerOutdated = 510,
     RequestWithdrawn = 511,
     RequestUnanswered = 512,
+    CallersGivenUp = 520,
     MessageRejected = 600,
     LinesDropped = 601,
 };
--- a/main/entrysettings.cpp
+++ b/main/entrysettings.cpp
@@ -15,6 +15,8 @@
 using Json = nlohmann::json;
 using serving::ServingSettings;
 
+constexpr int64_t mostMemoryMb = 1024 * 1024;
+
 const FieldTable<ServingSettings, HostId ServingSettings::*, DomainId ServingSettings::*,
                  std::string ServingSettings::*, Millis ServingSettings::*, double ServingSettings::*>
     servingFields({
@@ -33,13 +35,14 @@
         {"evacuation-limit-ms", &ServingSettings::evacuationLimit, false},
     });
 
-const FieldTable<EntrySettings, std::string EntrySettings::*> entryFields({
+const FieldTable<EntrySettings, std::string EntrySettings::*, int64_t EntrySettings::*> entryFields({
     {"directory-address", &EntrySettings::directoryAddress, true},
     {"readiness-address", &EntrySettings::readinessAddress, true},
     {"metrics-address", &EntrySettings::metricsAddress, false},
     {"store-address", &EntrySettings::storeAddress, true},
     {"cluster-secret", &EntrySettings::clusterSecret, true},
     {"log-format", &EntrySettings::logFormat, false},
+    {"memory-limit-mb", &EntrySettings::memoryLimitMb, false},
     {"policies", &EntrySettings::policies, false},
     {"features", &EntrySettings::features, false},
 });
@@ -100,6 +103,9 @@
         || settings.serving.evacuationLimit.value < 0) {
         throw DocumentError("/cold-overshoot: must not be negative, like cold-slack and evacuation-limit-ms");
     }
+    if (settings.memoryLimitMb < 0 || settings.memoryLimitMb > mostMemoryMb) {
+        throw DocumentError("/memory-limit-mb: must be from 0 to " + std::to_string(mostMemoryMb));
+    }
     if (settings.serving.capacity <= 0) {
         throw DocumentError("/capacity: must be above 0");
     }
--- a/main/vanillasparentry.cpp
+++ b/main/vanillasparentry.cpp
@@ -19,6 +19,7 @@
 #include "serving/servingnode.h"
 
 #include <cstdlib>
+#include <malloc.h>
 #include <memory>
 
 namespace vanillaspar
@@ -28,11 +29,45 @@
 {
 
 constexpr Millis tickInterval(10);
+constexpr Millis givenUpInterval(1000); // between two lines about requests that were given up
+constexpr int ownMappingBytes = 128 * 1024;
+constexpr size_t bytesPerMb = 1000UL * 1000;
 constexpr Millis settingsInterval(1000); // the file may change without a signal
 
+/** Writes a line when requests were refused or given up to keep the memory for callers within its bound. */
+class GivenUpReport
+{
+public:
+    GivenUpReport(const HttpIngress &ingress, EventLog &log, std::string host)
+        : m_ingress(ingress), m_log(log), m_host(std::move(host))
+    {
+    }
+    void tick(Millis now)
+    {
+        if (m_ingress.givenUp() == m_reported || now - m_reportedAt < givenUpInterval) {
+            return;
+        }
+        m_log.record(EventCode::CallersGivenUp, m_host,
+                     "requests=" + std::to_string(m_ingress.givenUp() - m_reported)
+                         + " kept_bytes=" + std::to_string(m_ingress.keptBytes()));
+        m_reported = m_ingress.givenUp();
+        m_reportedAt = now;
+    }
+
+private:
+    const HttpIngress &m_ingress;
+    EventLog &m_log;
+    std::string m_host;
+    uint64_t m_reported = 0;
+    Millis m_reportedAt;
+};
+
 /** Joins the parts of one entry host on the platform and runs them until the shutdown is over. */
 void runEntry(const std::string &path)
 {
+    // Memory of a large body goes back to the system when it is freed. Left to itself the C library raises this
+    // threshold to the largest block freed so far, and bodies then leave holes between what stays.
+    mallopt(M_MMAP_THRESHOLD, ownMappingBytes);
     std::string text = readFile(path);
     EntrySettings settings = EntrySettings::fromYaml(text, path);
     LogFile log(settings.logFormat, "", settings.serving.host.text());
@@ -48,10 +83,16 @@
     const platform::PlatformRecordDecoder decoder;
     platform::ReplicaLink replicas(upstream);
     platform::CallerFace callers(loop, clock, Endpoint::parse(settings.serving.callerAddress));
+    callers.ingress().setMemoryBudget(
+        CallerBudget::bytesForHost(static_cast<size_t>(settings.memoryLimitMb) * bytesPerMb));
+    GivenUpReport givenUp(callers.ingress(), log, settings.serving.host.text());
     EntryMetrics metrics;
     std::unique_ptr<serving::ServingNode> node;
     platform::DirectoryFace directory(loop, clock, [&] {
-        return metrics.page(node->gauges());
+        std::vector<std::pair<std::string, double>> gauges = node->gauges();
+        gauges.emplace_back("vanillaspar_caller_memory_bytes", static_cast<double>(callers.ingress().keptBytes()));
+        gauges.emplace_back("vanillaspar_requests_given_up", static_cast<double>(callers.ingress().givenUp()));
+        return metrics.page(gauges);
     });
     FleetTransport peers(loop, settings.serving.host, Endpoint::parse(settings.serving.peerAddress),
                          MessageCodec(settings.clusterSecret), log, [&](const HostId &from, const Message &message) {
@@ -88,6 +129,7 @@
     };
     loop.every(tickInterval, [&] {
         node->tick();
+        givenUp.tick(clock.now());
         if (node->isDrained()) {
             callers.ingress().stopReading(); // the loop's last turn would pass on requests that nobody answers
             const size_t open = node->reportUnanswered();
--- a/net/httpingress.cpp
+++ b/net/httpingress.cpp
@@ -2,6 +2,7 @@
 
 #include "core/clock.h"
 #include "net/httpreader.h"
+#include "net/ingressconnection.h"
 #include "net/loop.h"
 #include "net/streamsocket.h"
 #include "net/tcplistener.h"
@@ -35,54 +36,24 @@
 constexpr size_t droppedAtOnce = 64;
 constexpr Millis droppableAfter(200); // so that a request that is already here is read first
 
+constexpr Millis longPause(1000); // between two sweeps: the process itself stood still
+constexpr int retryAfter = 1; // seconds
+
 constexpr int badRequest = 400;
 constexpr int requestTimeout = 408;
 constexpr int payloadTooLarge = 413;
+constexpr int tooManyRequests = 429;
 constexpr int headTooLarge = 431;
+constexpr int unavailable = 503;
 
 }
 
-/** One caller's connection. */
-struct HttpIngress::Connection
-{
-    enum class Stage
-    {
-        Reading,
-        Handling,
-        Answering,
-        Lingering,
-    };
-
-    uint64_t id = 0;
-    Stage stage = Stage::Reading;
-    std::unique_ptr<StreamSocket> socket;
-    std::unique_ptr<HttpReader> reader;
-    std::string unread; ///< Bytes after the request that is being handled.
-    IngressRequest request;
-    uint64_t exchange = 0;
-    bool isChunked = false;
-    bool isKeepAlive = true;
-    bool isTooLarge = false;
-    Millis since; ///< When the present stage began, or its socket last took bytes of the answer before.
-    uint64_t sentBytes = 0; ///< That its socket had taken at the last sweep.
-
-    /** @return whether a request is read in part or lacks its answer, or bytes of an answer wait. */
-    bool isBusy() const
-    {
-        const bool isReadInPart = stage == Stage::Reading && (reader->hasStarted() || !unread.empty());
-        return isReadInPart || stage == Stage::Handling || stage == Stage::Answering || socket->pendingBytes() > 0;
-    }
-    /** @return whether it is only kept for the caller to read an answer or to send another request. */
-    bool isResting() const
-    {
-        return stage == Stage::Lingering || (stage == Stage::Reading && !reader->hasStarted());
-    }
-};
-
 HttpIngress::HttpIngress(Loop &loop, const Clock &clock, const Endpoint &endpoint, Handlers handlers)
     : m_loop(loop)
     , m_clock(clock)
     , m_handlers(std::move(handlers))
+    , m_budgetBytes(CallerBudget::bytesForHost(0))
+    , m_sweptAt(clock.now())
     , m_unwritten(maxUnwrittenBytes, maxUnwrittenTotal)
     , m_listener(std::make_unique<TcpListener>(loop, endpoint, [this](int descriptor) {
         accept(descriptor);
@@ -95,6 +66,18 @@
 
 HttpIngress::~HttpIngress() = default;
 
+void HttpIngress::setLimits(const IngressLimits &limits)
+{
+    m_limits = limits;
+    m_budget.setLimits(m_budgetBytes, m_limits.bodyBytes + m_limits.headBytes);
+}
+
+void HttpIngress::setMemoryBudget(size_t bytes)
+{
+    m_budgetBytes = bytes;
+    setLimits(m_limits);
+}
+
 bool HttpIngress::hasRoom() const
 {
     const size_t all = m_loop.maxDescriptors();
@@ -139,13 +122,14 @@
     Connection *connection = owned.get();
     connection->id = id;
     connection->since = m_clock.now();
+    connection->progressAt = connection->since;
+    connection->address = callerAddress(descriptor);
     HttpReader::Handlers reading;
     reading.onHead = [this, connection](HttpHead &head) {
         onHead(*connection, head);
     };
     reading.onBody = [this, connection](std::string_view data) {
-        connection->request.body.append(data);
-        connection->isTooLarge = connection->isTooLarge || connection->request.body.size() > m_limits.bodyBytes;
+        connection->appendBody(data, m_limits.bodyBytes);
     };
     connection->reader
         = std::make_unique<HttpReader>(HttpReader::Kind::Requests, m_limits.headBytes, std::move(reading));
@@ -169,6 +153,7 @@
         connection.socket->write("HTTP/1.1 100 Continue\r\n\r\n");
     }
     connection.request.head = std::move(head);
+    connection.headBytes = memoryOf(connection.request.head);
 }
 
 void HttpIngress::onData(Connection &connection, std::string_view data)
@@ -176,26 +161,44 @@
     if (!m_isReading) {
         return;
     }
+    const uint64_t id = connection.id;
+    connection.countReceived(data.size(), m_clock.now());
     switch (connection.stage) {
     case Connection::Stage::Reading:
-        connection.unread.append(data);
-        readNext(connection);
-        return;
+        if (connection.unread.empty()) {
+            read(connection, data);
+        } else {
+            connection.unread.append(data);
+            readNext(connection);
+        }
+        break;
     case Connection::Stage::Handling:
     case Connection::Stage::Answering:
         connection.unread.append(data);
         if (connection.unread.size() > m_limits.bodyBytes + m_limits.headBytes) {
             drop(connection.id);
         }
-        return;
+        break;
     case Connection::Stage::Lingering:
         return;
     }
+    const auto entry = m_connections.find(id);
+    if (entry != m_connections.end()) {
+        account(*entry->second);
+    }
+    limitKept();
 }
 
 void HttpIngress::readNext(Connection &connection)
 {
-    if (connection.unread.empty()) {
+    std::string data;
+    data.swap(connection.unread);
+    read(connection, data);
+}
+
+void HttpIngress::read(Connection &connection, std::string_view data)
+{
+    if (data.empty()) {
         return;
     }
     if (!connection.reader->hasStarted()) {
@@ -203,7 +206,7 @@
         connection.request.startedAt = connection.since;
     }
     size_t consumed = 0;
-    const HttpReader::State state = connection.reader->feed(connection.unread, consumed);
+    const HttpReader::State state = connection.reader->feed(data, consumed);
     if (connection.isTooLarge) {
         fail(connection, payloadTooLarge);
         return;
@@ -216,12 +219,28 @@
         fail(connection, headTooLarge);
         return;
     case HttpReader::State::NeedsMore:
-        connection.unread.clear();
         return;
     case HttpReader::State::Complete:
         break;
     }
-    connection.unread.erase(0, consumed);
+    data.remove_prefix(consumed);
+    connection.unread.assign(data);
+    handle(connection);
+}
+
+void HttpIngress::handle(Connection &connection)
+{
+    if (connection.request.body.capacity() > 2 * connection.request.body.size()) {
+        connection.request.body.shrink_to_fit();
+    }
+    const size_t bytes = connection.bytesToHandle();
+    if (!m_budget.admits(bytes)) {
+        ++m_givenUp;
+        fail(connection, unavailable);
+        return;
+    }
+    connection.handledBytes = bytes;
+    connection.headBytes = 0;
     connection.stage = Connection::Stage::Handling;
     connection.since = m_clock.now();
     connection.isKeepAlive = connection.request.head.isKeepAlive;
@@ -229,16 +248,43 @@
     m_connectionByExchange[connection.exchange] = connection.id;
     IngressRequest request = std::move(connection.request);
     connection.request = {};
+    account(connection);
     m_handlers.onRequest(connection.exchange, request);
 }
 
 void HttpIngress::fail(Connection &connection, int status)
 {
     connection.isKeepAlive = false;
-    startHead(connection, status, {}, true, 0);
+    connection.releaseRequest();
+    connection.reader->reset();
+    HttpHeaders headers;
+    if (status == requestTimeout || status == tooManyRequests || status == unavailable) {
+        headers.push_back({"Retry-After", std::to_string(retryAfter)});
+    }
+    startHead(connection, status, headers, true, 0);
     endExchange(connection);
 }
 
+void HttpIngress::account(const Connection &connection)
+{
+    m_budget.update(connection.id, connection.share());
+}
+
+void HttpIngress::limitKept()
+{
+    while (const std::optional<CallerExcess> excess = m_budget.findExcess(m_clock.now())) {
+        ++m_givenUp;
+        Connection &connection = *m_connections.at(excess->connection);
+        if (connection.stage != Connection::Stage::Reading) {
+            drop(excess->connection); // what came behind a request that runs
+        } else if (excess->reason == CallerExcess::Reason::Address) {
+            fail(connection, tooManyRequests);
+        } else {
+            fail(connection, excess->stalledFor > IngressConnection::scarceStall ? requestTimeout : unavailable);
+        }
+    }
+}
+
 HttpIngress::Connection *HttpIngress::find(uint64_t exchange)
 {
     const auto entry = m_connectionByExchange.find(exchange);
@@ -257,22 +303,7 @@
     connection.isChunked = !hasLength;
     connection.stage = Connection::Stage::Answering;
     connection.since = m_clock.now();
-    std::string head = "HTTP/1.1 " + std::to_string(status) + " " + reasonPhrase(status) + "\r\n";
-    for (const HttpHeader &header : headers) {
-        if (isConnectionHeader(header.name) || isSameHeader(header.name, "content-length")) {
-            continue;
-        }
-        head += header.name;
-        head += ": ";
-        head += header.value;
-        head += "\r\n";
-    }
-    head += hasLength ? "Content-Length: " + std::to_string(length) + "\r\n" : "Transfer-Encoding: chunked\r\n";
-    if (!connection.isKeepAlive) {
-        head += "Connection: close\r\n";
-    }
-    head += "\r\n";
-    connection.socket->write(head);
+    connection.writeHead(status, headers, hasLength, length);
 }
 
 void HttpIngress::respond(uint64_t exchange, int status, const HttpHeaders &headers, std::string_view body)
@@ -310,7 +341,7 @@
     } else {
         connection->socket->write(data);
     }
-    m_unwritten.update(connection->id, connection->socket->pendingBytes());
+    m_unwritten.update(connection->id, connection->unwrittenMemory());
     limitUnwritten();
 }
 
@@ -318,7 +349,7 @@
 {
     while (const std::optional<uint64_t> id = m_unwritten.findExcess()) {
         const auto entry = m_connections.find(*id);
-        const size_t pending = entry == m_connections.end() ? 0 : entry->second->socket->pendingBytes();
+        const size_t pending = entry == m_connections.end() ? 0 : entry->second->unwrittenMemory();
         const size_t before = m_unwritten.share(*id);
         m_unwritten.update(*id, pending); // the caller may have read since
         if (pending >= before) {
@@ -353,14 +384,19 @@
 {
     m_connectionByExchange.erase(connection.exchange);
     connection.exchange = 0;
+    connection.handledBytes = 0;
     connection.since = m_clock.now();
+    connection.progressAt = connection.since;
     if (!connection.isKeepAlive) {
         connection.stage = Connection::Stage::Lingering;
+        connection.releaseRequest();
+        account(connection);
         connection.socket->finishAfterWrite();
         return;
     }
     connection.stage = Connection::Stage::Reading;
     connection.reader->reset();
+    account(connection);
     // A request that was already received is read from the sweep or the next bytes, not from inside this answer.
 }
 
@@ -373,6 +409,7 @@
     const std::unique_ptr<Connection> connection = std::move(entry->second);
     m_connections.erase(entry);
     m_unwritten.update(id, 0);
+    m_budget.erase(id);
     if (connection->exchange != 0) {
         m_connectionByExchange.erase(connection->exchange);
         m_handlers.onGone(connection->exchange);
@@ -382,8 +419,12 @@
 void HttpIngress::sweep()
 {
     const Millis now = m_clock.now();
+    // After a pause of the process itself, what callers sent meanwhile is read before they count as stalled.
+    const bool wasPaused = now - m_sweptAt > longPause;
+    m_sweptAt = now;
     std::vector<uint64_t> expired;
     std::vector<Connection *> late;
+    std::vector<uint64_t> waiting;
     for (const auto &[id, connection] : m_connections) {
         const uint64_t sentBytes = connection->socket->bytesSent();
         if (connection->isResting() && sentBytes != connection->sentBytes) {
@@ -397,10 +438,18 @@
             }
         } else if (connection->stage == Connection::Stage::Reading) {
             if (!connection->unread.empty() && m_isReading) {
-                readNext(*connection);
+                waiting.push_back(id);
             } else if (connection->reader->hasStarted()) {
                 if (age > (connection->reader->hasHead() ? bodyTimeout : m_limits.headTimeout)) {
                     late.push_back(connection.get());
+                } else if (connection->isReadingBody()) {
+                    if (wasPaused) {
+                        connection->receivedAt = now;
+                        connection->progressAt = now;
+                    } else if (connection->isStalled(now, m_limits.idleTimeout, m_budget.isScarce())) {
+                        ++m_givenUp;
+                        late.push_back(connection.get());
+                    }
                 }
             } else if (age > m_limits.idleTimeout) {
                 expired.push_back(id);
@@ -413,6 +462,17 @@
     for (const uint64_t id : expired) {
         drop(id);
     }
+    for (const uint64_t id : waiting) {
+        const auto entry = m_connections.find(id);
+        if (entry != m_connections.end()) {
+            readNext(*entry->second);
+        }
+        const auto still = m_connections.find(id);
+        if (still != m_connections.end()) {
+            account(*still->second);
+        }
+    }
+    limitKept();
 }
 
 bool HttpIngress::isQuiet() const
--- a/net/httpingress.h
+++ b/net/httpingress.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/buffershares.h"
+#include "core/callerbudget.h"
 #include "core/units.h"
 #include "net/endpoint.h"
 #include "net/httphead.h"
@@ -19,6 +20,7 @@
 
 class Clock;
 class Loop;
+struct IngressConnection;
 class TcpListener;
 
 /** One whole request that was received. */
@@ -34,6 +36,7 @@
  *
  * Requests are handed over whole; answers are passed on piece by piece. A connection carries one exchange at a time.
  * When descriptors run short, connections without a request make room for new ones; without such, new ones are closed.
+ * When the memory for requests runs short, unfinished ones make room, and large ones are refused before they run.
  */
 class HttpIngress
 {
@@ -50,9 +53,18 @@
     HttpIngress(const HttpIngress &) = delete;
     HttpIngress &operator=(const HttpIngress &) = delete;
 
-    void setLimits(const IngressLimits &limits)
+    void setLimits(const IngressLimits &limits);
+    /** Sets how much memory all callers together may make this server keep, besides answers that they don't read. */
+    void setMemoryBudget(size_t bytes);
+    /** @return bytes of memory that requests take now, unfinished ones and those being handled. */
+    size_t keptBytes() const
     {
-        m_limits = limits;
+        return m_budget.total();
+    }
+    /** @return requests so far that were refused, or given up unfinished, for want of memory or of progress. */
+    uint64_t givenUp() const
+    {
+        return m_givenUp;
     }
     /** Every answer from now on closes its connection. */
     void beginClosing()
@@ -82,7 +94,7 @@
     void abort(uint64_t exchange);
 
 private:
-    struct Connection;
+    using Connection = IngressConnection;
 
     void accept(int descriptor);
     /** @return whether one more connection leaves enough descriptors for calls to servers and for other ingresses. */
@@ -91,8 +103,16 @@
     size_t dropIdle();
     void onHead(Connection &connection, HttpHead &head) const;
     void onData(Connection &connection, std::string_view data);
+    /** Reads what came behind an earlier request. */
     void readNext(Connection &connection);
+    void read(Connection &connection, std::string_view data);
+    /** Hands over a request that was read whole, or refuses it for want of memory. */
+    void handle(Connection &connection);
     void fail(Connection &connection, int status);
+    /** Records what a connection keeps. */
+    void account(const Connection &connection);
+    /** Gives up unfinished requests until what callers keep is within the budget. */
+    void limitKept();
     void startHead(Connection &connection, int status, const HttpHeaders &headers, bool hasLength, uint64_t length);
     void endExchange(Connection &connection);
     void drop(uint64_t connection);
@@ -111,6 +131,10 @@
     size_t m_roomMade = 0; ///< Connections that may still be accepted for those that dropIdle() closed.
     bool m_isClosing = false;
     bool m_isReading = true;
+    size_t m_budgetBytes;
+    CallerBudget m_budget; ///< What requests keep.
+    uint64_t m_givenUp = 0;
+    Millis m_sweptAt;
     BufferShares m_unwritten; ///< Bytes that callers have yet to read, by connection.
     std::unique_ptr<TcpListener> m_listener;
 };
--- a/net/httpreader.cpp
+++ b/net/httpreader.cpp
@@ -94,6 +94,12 @@
     m_isComplete = false;
 }
 
+size_t HttpReader::headMemory() const
+{
+    constexpr size_t growth = 2; // a string's capacity for its length
+    return m_hasHead ? 0 : growth * m_headBytes + m_head.headers.capacity() * sizeof(HttpHeader);
+}
+
 int HttpReader::takeHeaderPart(bool isValue, std::string_view text)
 {
     constexpr int refuseHead = -1;
--- a/net/httpreader.h
+++ b/net/httpreader.h
@@ -66,6 +66,8 @@
     {
         return m_hasStarted;
     }
+    /** @return bytes of memory that a head takes which isn't complete, at most. */
+    size_t headMemory() const;
     /** @return whether the head of the message is complete. */
     bool hasHead() const
     {
--- a/net/streamsocket.cpp
+++ b/net/streamsocket.cpp
@@ -150,7 +150,7 @@
             std::string().swap(m_pending);
         }
     } else if (m_offset > compactThreshold && m_offset >= m_pending.size() / 2) {
-        m_pending = m_pending.substr(m_offset);
+        std::string(m_pending, m_offset).swap(m_pending);
         m_offset = 0;
     }
 }
