--- a/main/entrysettings.cpp
+++ b/main/entrysettings.cpp
@@ -15,7 +15,7 @@
 using Json = nlohmann::json;
 using serving::ServingSettings;
 
-constexpr int64_t mostMemoryMb = 1024 * 1024;
+constexpr double mostMemoryMb = 1024 * 1024;
 
 const FieldTable<ServingSettings, HostId ServingSettings::*, DomainId ServingSettings::*,
                  std::string ServingSettings::*, Millis ServingSettings::*, double ServingSettings::*>
@@ -35,7 +35,7 @@
         {"evacuation-limit-ms", &ServingSettings::evacuationLimit, false},
     });
 
-const FieldTable<EntrySettings, std::string EntrySettings::*, int64_t EntrySettings::*> entryFields({
+const FieldTable<EntrySettings, std::string EntrySettings::*, double EntrySettings::*> entryFields({
     {"directory-address", &EntrySettings::directoryAddress, true},
     {"readiness-address", &EntrySettings::readinessAddress, true},
     {"metrics-address", &EntrySettings::metricsAddress, false},
@@ -104,7 +104,7 @@
         throw DocumentError("/cold-overshoot: must not be negative, like cold-slack and evacuation-limit-ms");
     }
     if (settings.memoryLimitMb < 0 || settings.memoryLimitMb > mostMemoryMb) {
-        throw DocumentError("/memory-limit-mb: must be from 0 to " + std::to_string(mostMemoryMb));
+        throw DocumentError("/memory-limit-mb: must be from 0 to 1048576");
     }
     if (settings.serving.capacity <= 0) {
         throw DocumentError("/capacity: must be above 0");
--- a/main/entrysettings.h
+++ b/main/entrysettings.h
@@ -2,7 +2,6 @@
 
 #include "serving/interfaces/servingsettings.h"
 
-#include <cstdint>
 #include <string>
 
 namespace vanillaspar
@@ -18,7 +17,7 @@
     std::string storeAddress;
     std::string clusterSecret; ///< Shared by all hosts; authenticates their messages.
     std::string logFormat = "json";
-    int64_t memoryLimitMb = 0; ///< Megabytes of the host's memory; 0 if unknown.
+    double memoryLimitMb = 0; ///< Megabytes of the host's memory; 0 if unknown.
     std::string policies; ///< Names of the platform's policies in force, separated by commas.
     std::string
         features; ///< Features of the serving core to switch on, "none", or empty for those that the policies need.
--- a/main/vanillasparentry.cpp
+++ b/main/vanillasparentry.cpp
@@ -31,7 +31,7 @@
 constexpr Millis tickInterval(10);
 constexpr Millis givenUpInterval(1000); // between two lines about requests that were given up
 constexpr int ownMappingBytes = 128 * 1024;
-constexpr size_t bytesPerMb = 1000UL * 1000;
+constexpr double bytesPerMb = 1e6;
 constexpr Millis settingsInterval(1000); // the file may change without a signal
 
 /** Writes a line when requests were refused or given up to keep the memory for callers within its bound. */
@@ -84,7 +84,7 @@
     platform::ReplicaLink replicas(upstream);
     platform::CallerFace callers(loop, clock, Endpoint::parse(settings.serving.callerAddress));
     callers.ingress().setMemoryBudget(
-        CallerBudget::bytesForHost(static_cast<size_t>(settings.memoryLimitMb) * bytesPerMb));
+        CallerBudget::bytesForHost(static_cast<size_t>(settings.memoryLimitMb * bytesPerMb)));
     GivenUpReport givenUp(callers.ingress(), log, settings.serving.host.text());
     EntryMetrics metrics;
     std::unique_ptr<serving::ServingNode> node;
--- a/tests/soak/host.py
+++ b/tests/soak/host.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import ctypes
+import re
 import signal
 import subprocess
 import time
@@ -69,11 +70,15 @@
         values = {"node_name": self.name, "zone": self.zone, "ip": "127.0.0.1", "port_range.0": self.peer_port,
                   "port_range.1": self.metrics_port, "listen_addrs.front": address(self.port),
                   "listen_addrs.ready_addr": address(self.ready_port),
-                  "listen_addrs.directory": address(self.directory_port), "limits.cpu_share": 0.25, "limits.memory_mb": 160,
+                  "listen_addrs.directory": address(self.directory_port), "limits.cpu_share": 0.25, "limits.memory_mb": 160, "policies": "",
                   "platform.address": address(self.store_port), "bounds.revoke_ms": 5000, "bounds.lease_ms": 3000,
                   "bounds.version_ms": 5000, "bounds.grace_s": GRACE_S, "bounds.retry_ratio": 0.2,
                   "bounds.retry_slack": 52 + self.changes, "bounds.retry_window_s": 10}
         text = self.template
+        # A section is there only where the platform has its value.
+        text = re.sub(r"\{\{#(.+?)\}\}\n(.*?)\{\{/\1\}\}\n",
+                      lambda part: part[2].replace("{{.}}", str(values[part[1]])) if part[1] in values else "", text,
+                      flags=re.DOTALL)
         for name, value in values.items():
             text = text.replace("{{" + name + "}}", str(value))
         self.path.write_text(text)
