--- a/serving/dispatcher.cpp
+++ b/serving/dispatcher.cpp
@@ -36,10 +36,10 @@
 
 Dispatcher::Dispatcher(DispatchContext context)
     : m_context(std::move(context))
-    , m_services(m_context.backends, m_context.domain)
+    , m_services(m_context.backends, m_context.domain, m_context.latencies, m_context.random)
     , m_versionGuard(m_context.clock, m_context.versions, m_context.residency, m_context.log)
     , m_tracker(m_context.clock, m_context.backends, m_context.chooser, m_context.prompts, m_versionGuard,
-                m_context.log)
+                m_context.log, m_context.latencies)
     , m_incompleteEvents(maxEventBytes, maxIncompleteBytes)
 {
 }
@@ -210,8 +210,8 @@
         } else if (m_tracker.isOutcomeOverdue(*active) || m_versionGuard.mustWithdraw(*active)) {
             due.emplace_back(exchange, &Dispatcher::breakOff);
         }
-        if (active->attempt != 0 && active->isEngine && !active->isResponding()) {
-            m_context.chooser.onWaiting(*active, now);
+        if (active->attempt != 0 && !active->isResponding()) {
+            m_tracker.onWaiting(*active);
         }
     }
     if (m_stopGate.isOver(now)) {
--- a/serving/dispatcher.h
+++ b/serving/dispatcher.h
@@ -29,6 +29,7 @@
 namespace vanillaspar
 {
 class Clock;
+class Random;
 struct AdapterRequest;
 struct AdapterUse;
 }
@@ -42,6 +43,7 @@
 class ResponseWriter;
 class EngineChooser;
 class PromptGuard;
+class ReplicaLatencies;
 class RequestLog;
 class ResidencyMap;
 struct Admitted;
@@ -61,6 +63,8 @@
     PromptGuard &prompts;
     RequestLog &log;
     DomainId domain; ///< Failure domain of this host.
+    ReplicaLatencies *latencies = nullptr; ///< Observed latencies to choose replicas by; nullptr for none.
+    Random *random = nullptr; ///< Varies the choice by latencies; nullptr only without them.
 };
 
 /**
--- a/serving/placement/attempttracker.cpp
+++ b/serving/placement/attempttracker.cpp
@@ -4,6 +4,7 @@
 #include "serving/guards/promptguard.h"
 #include "serving/interfaces/attemptsender.h"
 #include "serving/placement/enginechooser.h"
+#include "serving/placement/replicalatencies.h"
 #include "serving/placement/versionguard.h"
 #include "serving/queueing/activerequest.h"
 #include "serving/queueing/requestlog.h"
@@ -22,8 +23,14 @@
 }
 
 AttemptTracker::AttemptTracker(const Clock &clock, BackendTable &backends, EngineChooser &chooser, PromptGuard &prompts,
-                               VersionGuard &versions, RequestLog &log)
-    : m_clock(clock), m_backends(backends), m_chooser(chooser), m_prompts(prompts), m_versions(versions), m_log(log)
+                               VersionGuard &versions, RequestLog &log, ReplicaLatencies *latencies)
+    : m_clock(clock)
+    , m_backends(backends)
+    , m_chooser(chooser)
+    , m_prompts(prompts)
+    , m_versions(versions)
+    , m_log(log)
+    , m_latencies(latencies)
 {
 }
 
@@ -38,10 +45,23 @@
     active.pendingPrefill = active.request.promptTokens.value;
     m_versions.onSending(active);
     m_prompts.onSent(active);
+    if (m_latencies != nullptr) {
+        m_latencies->onSending(active, backend);
+    }
     m_chooser.onSending(active, backend);
     m_backends.onSent(backend.info.id, active.tokens, active.pendingPrefill, active.priority);
 }
 
+void AttemptTracker::onWaiting(ActiveRequest &active)
+{
+    if (active.isEngine) {
+        m_chooser.onWaiting(active, m_clock.now());
+    }
+    if (m_latencies != nullptr) {
+        m_latencies->onWaiting(active, m_clock.now());
+    }
+}
+
 void AttemptTracker::onAlive(const ActiveRequest &active)
 {
     m_backends.onAlive(active.replica, m_clock.now());
@@ -51,6 +71,9 @@
 {
     active.outcome = outcome;
     active.outcomeAt = m_clock.now();
+    if (m_latencies != nullptr && outcome == AttemptOutcome::NotExecuted) {
+        m_latencies->onRejected(active, active.outcomeAt);
+    }
 }
 
 bool AttemptTracker::onDiscarded(ActiveRequest &active, std::string_view data)
@@ -81,6 +104,9 @@
     if (active.isEngine && isSuccess) {
         m_chooser.onFirstEvent(active, active.answeredAt);
     }
+    if (m_latencies != nullptr && isSuccess) {
+        m_latencies->onAnswered(active, active.answeredAt);
+    }
     m_backends.onPromptProcessed(active.replica, active.pendingPrefill, active.priority);
     active.pendingPrefill = 0;
 }
@@ -125,6 +151,9 @@
     if (active.isEngine) {
         m_chooser.onCompleted(active, m_clock.now());
     }
+    if (m_latencies != nullptr) {
+        m_latencies->onCompleted(active, m_clock.now());
+    }
 }
 
 }
--- a/serving/placement/attempttracker.h
+++ b/serving/placement/attempttracker.h
@@ -17,6 +17,7 @@
 struct AttemptHead;
 class EngineChooser;
 class PromptGuard;
+class ReplicaLatencies;
 class RequestLog;
 enum class AttemptOutcome;
 struct ActiveRequest;
@@ -27,11 +28,14 @@
 class AttemptTracker
 {
 public:
+    /** @param latencies that learn from attempts at plain services and from events of streams; nullptr for none. */
     AttemptTracker(const Clock &clock, BackendTable &backends, EngineChooser &chooser, PromptGuard &prompts,
-                   VersionGuard &versions, RequestLog &log);
+                   VersionGuard &versions, RequestLog &log, ReplicaLatencies *latencies = nullptr);
 
     /** The next attempt of a request is sent to a replica. */
     void onSending(ActiveRequest &active, const BackendState &backend);
+    /** The attempt has no response yet; to be called regularly. */
+    void onWaiting(ActiveRequest &active);
     /** The replica sent anything at all. */
     void onAlive(const ActiveRequest &active);
     /** The replica sent the start of a response that may be forwarded. */
@@ -64,6 +68,7 @@
     PromptGuard &m_prompts;
     VersionGuard &m_versions;
     RequestLog &m_log;
+    ReplicaLatencies *m_latencies;
 };
 
 }
--- a/serving/placement/enginechooser.cpp
+++ b/serving/placement/enginechooser.cpp
@@ -3,6 +3,7 @@
 #include "core/hash.h"
 #include "core/random.h"
 #include "serving/interfaces/weights.h"
+#include "serving/placement/replicalatencies.h"
 #include "serving/queueing/activerequest.h"
 #include "serving/replicas/adapterversions.h"
 #include "serving/replicas/backendtable.h"
@@ -26,6 +27,8 @@
 // Part of its objective for which a request that is late anyhow may wait for other prompts at its replica.
 constexpr double lateQueueFraction = 0.15;
 constexpr double newestDurationWeight = 0.05;
+// Own pace from which a replica counts as stuck whatever other hosts observe. Slow replicas are 1.3 to 2.5 times as slow.
+constexpr double stuckFactor = 5;
 constexpr double noHolderLoad = 10.0; // exceeds the load of any replica
 
 }
@@ -52,7 +55,19 @@
 
 Millis EngineChooser::timeToRead(const BackendState &state, double tokens, Millis now) const
 {
-    return m_firstEvents.expected(tokens) * state.pace.factor(now);
+    return m_firstEvents.expected(tokens) * paceOf(state, now);
+}
+
+bool EngineChooser::usesLatencies() const
+{
+    return m_latencies != nullptr && m_latencies->isEnabled();
+}
+
+double EngineChooser::paceOf(const BackendState &state, Millis now) const
+{
+    // A replica that this host alone finds stuck, as its requests there don't begin, is avoided before others know.
+    const double own = state.pace.factor(now);
+    return usesLatencies() ? std::max(m_latencies->factor(state), own >= stuckFactor ? own : 0) : own;
 }
 
 double EngineChooser::loadOf(const BackendState &state, const ActiveRequest &active, const EngineSpec &engine,
@@ -90,6 +105,9 @@
 void EngineChooser::onSending(ActiveRequest &active, const BackendState &backend)
 {
     active.prefillAhead = prefillAhead(backend, active);
+    if (usesLatencies()) {
+        active.expectedLatency = static_cast<double>(m_firstEvents.expected(active.prefillAhead).value);
+    }
     m_urgencyMix.add(active.priority, static_cast<double>(active.request.promptTokens.value));
 }
 
@@ -98,8 +116,11 @@
     const Millis elapsed = now - active.sentAt;
     if (BackendState *state = m_backends.find(active.replica)) {
         const Millis expected = m_firstEvents.expected(active.prefillAhead);
-        state->pace.onFirstEvent(
-            static_cast<double>(elapsed.value) / static_cast<double>(std::max<int64_t>(expected.value, 1)), now);
+        const double ratio = static_cast<double>(elapsed.value) / static_cast<double>(std::max<int64_t>(expected.value, 1));
+        state->pace.onFirstEvent(ratio, now);
+        if (usesLatencies()) {
+            m_latencies->observe(active.replica, ratio, 1, now);
+        }
     }
     m_firstEvents.observe(active.prefillAhead, elapsed);
 }
@@ -130,6 +151,9 @@
                                 }),
                  usable.end());
     const bool hasCandidates = !usable.empty();
+    if (usesLatencies()) {
+        m_latencies->update(active.pool, usable, now);
+    }
     const std::optional<Millis> pausedUntil = removePaused(usable, now);
     const Holders holders = evaluateHolders(active, usable, engine, now);
     ReplicaChoice choice {holders.best, nullptr, hasCandidates, pausedUntil, holders.availability};
--- a/serving/placement/enginechooser.h
+++ b/serving/placement/enginechooser.h
@@ -21,6 +21,7 @@
 
 class AdapterVersions;
 class BackendTable;
+class ReplicaLatencies;
 class ResidencyMap;
 struct BackendState;
 struct EngineSpec;
@@ -51,6 +52,11 @@
     EngineChooser(BackendTable &backends, ResidencyMap &residency, const AdapterVersions &versions, DomainId domain,
                   CanLoad canLoad, Random &random);
 
+    /** Uses latencies that all hosts observed, while they are enabled, instead of this host's alone. */
+    void setLatencies(ReplicaLatencies &latencies)
+    {
+        m_latencies = &latencies;
+    }
     /**
      * Chooses where to send a request and, if its adapter lacks capacity, where to load the adapter.
      *
@@ -119,6 +125,11 @@
     /** @return time until the first event if @p tokens have to be read, at the replica's pace. */
     Millis timeToRead(const BackendState &state, double tokens, Millis now) const;
 
+    /** @return how much longer than the others of its pool the replica takes. */
+    double paceOf(const BackendState &state, Millis now) const;
+    /** @return whether latencies of all hosts are used. */
+    bool usesLatencies() const;
+
     BackendTable &m_backends;
     ResidencyMap &m_residency;
     const AdapterVersions &m_versions;
@@ -127,6 +138,7 @@
     Random &m_random;
     FirstEventEstimate m_firstEvents; ///< Of all engines that this host has sent requests to.
     UrgencyMix m_urgencyMix;
+    ReplicaLatencies *m_latencies = nullptr; ///< nullptr for none.
     double m_meanDuration = 0; ///< Milliseconds from sending a request to its complete response; 0 if none is known.
 };
 
--- a/serving/placement/servicechooser.cpp
+++ b/serving/placement/servicechooser.cpp
@@ -1,9 +1,12 @@
 #include "serving/placement/servicechooser.h"
 
+#include "core/random.h"
+#include "serving/placement/replicalatencies.h"
 #include "serving/queueing/activerequest.h"
 #include "serving/replicas/backendtable.h"
 
 #include <algorithm>
+#include <cmath>
 #include <vector>
 
 namespace vanillaspar::serving
@@ -16,11 +19,18 @@
 constexpr double maxQueuePerSlot = 2.0; // requests per slot
 // Failures weigh as for engines. An avoided replica is chosen only if there is no other.
 constexpr ReplicaPenalties penalties {0.1, 2.0, 100.0};
+// Part of its own work for which a request that is late anyhow may wait for others at its replica.
+constexpr double lateQueueFraction = 0.15;
+// Part of the choice that is random even if reports are fresh, so that hosts with the same view differ.
+constexpr double minStaleness = 0.1;
+// Half of the logarithm of an exponential variable makes the probability fall with the square of the expected time.
+constexpr double drawWeight = 0.5;
+constexpr double minDraw = 1e-9; // keeps the logarithm finite
 
 }
 
-ServiceChooser::ServiceChooser(BackendTable &backends, DomainId domain)
-    : m_backends(backends), m_domain(std::move(domain))
+ServiceChooser::ServiceChooser(BackendTable &backends, DomainId domain, ReplicaLatencies *latencies, Random *random)
+    : m_backends(backends), m_domain(std::move(domain)), m_latencies(latencies), m_random(random)
 {
 }
 
@@ -34,7 +44,19 @@
                  usable.end());
     ReplicaChoice choice;
     choice.hasCandidates = !usable.empty();
+    const bool usesLatencies = m_latencies != nullptr && m_latencies->isEnabled();
+    if (usesLatencies) {
+        m_latencies->update(active.pool, usable, now);
+    }
     choice.pausedUntil = removePaused(usable, now);
+    choice.backend = usesLatencies ? chooseByLatency(active, usable, now) : chooseBySlots(active, usable, now);
+    return choice;
+}
+
+BackendState *ServiceChooser::chooseBySlots(const ActiveRequest &active, const std::vector<BackendState *> &usable,
+                                            Millis now) const
+{
+    BackendState *chosen = nullptr;
     double best = 0;
     for (BackendState *state : usable) {
         const double load = state->slotLoad();
@@ -42,12 +64,56 @@
             continue;
         }
         const double value = penalties.score(load, *state, m_domain, now);
-        if (choice.backend == nullptr || value < best) {
-            choice.backend = state;
+        if (chosen == nullptr || value < best) {
+            chosen = state;
             best = value;
         }
     }
-    return choice;
+    return chosen;
+}
+
+BackendState *ServiceChooser::chooseByLatency(const ActiveRequest &active, const std::vector<BackendState *> &usable,
+                                              Millis now)
+{
+    const double expected = m_latencies->expected(active) * m_latencies->level(active.pool);
+    const double mean = std::max(m_latencies->meanLatency(active.pool), 1.0);
+    const double staleness
+        = std::max(minStaleness, 1 - std::exp(-static_cast<double>(m_backends.reportAge().value) / mean));
+    double peerRunning = 0;
+    double capacity = 0;
+    for (const BackendState *state : usable) {
+        peerRunning += static_cast<double>(state->peers.running);
+        capacity += static_cast<double>(state->info.slots) / m_latencies->factor(*state);
+    }
+    const auto untilLate = static_cast<double>((active.lateAfter - now).value);
+    BackendState *chosen = nullptr;
+    double best = 0;
+    for (BackendState *state : usable) {
+        if (active.excluded.count(state->info.id) > 0) {
+            continue;
+        }
+        const double factor = m_latencies->factor(*state);
+        const double slots = static_cast<double>(std::max<int64_t>(state->info.slots, 1));
+        // Most of what was reported has ended meanwhile. The same amount of work is assumed, divided by capacity.
+        const double peers = (1 - staleness) * static_cast<double>(state->peers.running)
+            + staleness * peerRunning * slots / factor / std::max(capacity, 1.0);
+        const double running
+            = static_cast<double>(state->own.running) + peers + m_latencies->unreportedRequests(*state, now);
+        const double queue = std::max(1.0, (running + 1) / slots);
+        const double own = expected * factor;
+        if (running >= slots * (1 + maxQueuePerSlot)
+            || (queue > 1 && own * queue > std::max(untilLate, own * (1 + lateQueueFraction)))) {
+            continue;
+        }
+        const double draw = std::log(std::max(-std::log(1 - m_random->unit()), minDraw));
+        const double score = penalties.score(std::log(factor * queue), *state, m_domain, now)
+            + drawWeight * staleness * draw;
+        if (chosen == nullptr || score < best) {
+            chosen = state;
+            best = score;
+        }
+    }
+    return chosen;
 }
 
 }
--- a/serving/replicas/backendtable.cpp
+++ b/serving/replicas/backendtable.cpp
@@ -137,6 +137,12 @@
     return entry == m_backends.end() ? nullptr : entry->second.get();
 }
 
+BackendState *BackendTable::findByShortId(uint32_t shortId) const
+{
+    const auto entry = m_byShortId.find(shortId);
+    return entry == m_byShortId.end() ? nullptr : entry->second;
+}
+
 std::vector<BackendState *> BackendTable::usable(const PoolId &pool) const
 {
     std::vector<BackendState *> found;
--- a/serving/replicas/backendtable.h
+++ b/serving/replicas/backendtable.h
@@ -87,6 +87,8 @@
 
     /** @return the server, also if it is removed but not yet purged, or nullptr. */
     BackendState *find(const ReplicaId &id) const;
+    /** @return the server with the given hash of its id, as find() does. */
+    BackendState *findByShortId(uint32_t shortId) const;
     /** @return the servers of a pool that may get new requests. */
     std::vector<BackendState *> usable(const PoolId &pool) const;
 
--- a/serving/servingnode.cpp
+++ b/serving/servingnode.cpp
@@ -64,6 +64,10 @@
     {
         node.m_versionRecords.onProof(proof, node.m_members);
     }
+    void operator()(const LatencyReport &report) const
+    {
+        node.m_latencyExchange.receive(from, report);
+    }
     void operator()(const AdapterRequest &request) const
     {
         node.m_loads.onAdapterRequest(request);
@@ -97,7 +101,7 @@
     , m_prompts(m_ports.clock, m_backends, m_ports.log, m_random)
     , m_requestLog(m_ports.log, m_ports.metrics)
     , m_dispatcher({m_ports.clock, m_ports.callers, m_ports.attempts, m_admission, m_backends, m_residency, m_versions,
-                    m_chooser, m_prompts, m_requestLog, m_settings.domain})
+                    m_chooser, m_prompts, m_requestLog, m_settings.domain, &m_latencies, &m_random})
     , m_configuration(m_ports.store, Collection::Configuration, {hubPolling.configWatchTimeout, configPollInterval},
                       m_ports.clock, m_random, m_ports.log,
                       [this](const std::vector<StoredRecord> &records) {
@@ -125,6 +129,7 @@
                  })
     , m_startedAt(m_ports.clock.now())
 {
+    m_chooser.setLatencies(m_latencies);
     setSettings(m_settings);
     m_ports.log.record(EventCode::NodeStarted, m_settings.host.text(), "incarnation " + m_members.incarnation().text());
 }
@@ -398,6 +403,7 @@
         m_members.setListed();
     }
     m_heartbeats.send(makeOwnHeartbeat());
+    m_latencyExchange.send();
     m_versionRecords.sendProofs(m_members, m_ports.peers);
     const PromptReport report = m_prompts.takeReport();
     if (!report.isEmpty()) {
@@ -482,6 +488,7 @@
             {"vanillaspar_listed_hosts", static_cast<double>(callerAddresses(m_settings.domain).size())},
             {"vanillaspar_suspect_prompt_parts", static_cast<double>(m_prompts.suspectCount())},
             {"vanillaspar_blocked_prompt_parts", static_cast<double>(m_prompts.blocked().parts().size())},
+            {"vanillaspar_slow_replicas", m_latencyExchange.slowCount()},
             {"vanillaspar_ready", isReady() ? 1.0 : 0.0}};
 }
 
--- a/serving/servingnode.h
+++ b/serving/servingnode.h
@@ -13,11 +13,13 @@
 #include "serving/membership/fleetmembers.h"
 #include "serving/membership/heartbeatexchange.h"
 #include "serving/membership/hostregistry.h"
+#include "serving/membership/latencyexchange.h"
 #include "serving/membership/pollintervals.h"
 #include "serving/membership/promptrecords.h"
 #include "serving/membership/recordmirror.h"
 #include "serving/membership/versionrecords.h"
 #include "serving/placement/enginechooser.h"
+#include "serving/placement/replicalatencies.h"
 #include "serving/queueing/requestlog.h"
 #include "serving/replicas/adapterversions.h"
 #include "serving/replicas/backendtable.h"
@@ -138,6 +140,7 @@
     ResidencyMap m_residency;
     AdapterVersions m_versions;
     FleetMembers m_members;
+    ReplicaLatencies m_latencies;
     EngineChooser m_chooser;
     ReplicaNotices m_notices;
     PromptGuard m_prompts;
@@ -149,6 +152,8 @@
     RecordMirror m_coordination;
     LoadCoordinator m_loads;
     HeartbeatExchange m_heartbeats;
+    LatencyExchange m_latencyExchange {{m_settings, m_ports.clock, m_ports.peers, m_ports.log, m_members, m_backends,
+                                        m_latencies}};
     PromptRecords m_promptRecords;
     HostRegistry m_registry;
     /** Replicas whose entries were removed right after a store outage, and until when these may be written again. */
