--- a/serving/membership/latencyexchange.h
+++ b/serving/membership/latencyexchange.h
@@ -37,9 +37,9 @@
 /**
  * Exchanges what hosts observed of replicas' latencies, along the same ways as heartbeats.
  *
- * A leaf host reports to its domain's hubs, a hub to the other hubs for itself and its leaf hosts, and to its leaf hosts
- * for all others. A host that has just started uses its hub's report from the first one on. Off unless the deployment
- * asks for learned capacity.
+ * A leaf host reports to its domain's hubs, a hub to the other hubs for itself and its leaf hosts, and to its leaf
+ * hosts for all others. A host that has just started uses its hub's report from the first one on. Off unless the
+ * deployment asks for learned capacity.
  */
 class LatencyExchange
 {
--- a/serving/placement/enginechooser.cpp
+++ b/serving/placement/enginechooser.cpp
@@ -27,7 +27,8 @@
 // Part of its objective for which a request that is late anyhow may wait for other prompts at its replica.
 constexpr double lateQueueFraction = 0.15;
 constexpr double newestDurationWeight = 0.05;
-// Own pace from which a replica counts as stuck whatever other hosts observe. Slow replicas are 1.3 to 2.5 times as slow.
+// Own pace from which a replica counts as stuck whatever other hosts observe. Slow replicas are 1.3 to 2.5 times as
+// slow.
 constexpr double stuckFactor = 5;
 constexpr double noHolderLoad = 10.0; // exceeds the load of any replica
 
@@ -116,7 +117,8 @@
     const Millis elapsed = now - active.sentAt;
     if (BackendState *state = m_backends.find(active.replica)) {
         const Millis expected = m_firstEvents.expected(active.prefillAhead);
-        const double ratio = static_cast<double>(elapsed.value) / static_cast<double>(std::max<int64_t>(expected.value, 1));
+        const double ratio
+            = static_cast<double>(elapsed.value) / static_cast<double>(std::max<int64_t>(expected.value, 1));
         state->pace.onFirstEvent(ratio, now);
         if (usesLatencies()) {
             m_latencies->observe(active.replica, ratio, 1, now);
--- a/serving/placement/replicalatencies.cpp
+++ b/serving/placement/replicalatencies.cpp
@@ -207,8 +207,8 @@
     Evidence &evidence = m_peers[host];
     evidence.clear();
     for (const ReplicaLatencyReport &report : replicas) {
-        evidence[report.replica] = LatencyEvidence(report.logRatio / ratioScale, report.weight / weightScale,
-                                                   now - Millis(report.age), now);
+        evidence[report.replica]
+            = LatencyEvidence(report.logRatio / ratioScale, report.weight / weightScale, now - Millis(report.age), now);
     }
 }
 
--- a/serving/placement/servicechooser.cpp
+++ b/serving/placement/servicechooser.cpp
@@ -106,8 +106,8 @@
             continue;
         }
         const double draw = std::log(std::max(-std::log(1 - m_random->unit()), minDraw));
-        const double score = penalties.score(std::log(factor * queue), *state, m_domain, now)
-            + drawWeight * staleness * draw;
+        const double score
+            = penalties.score(std::log(factor * queue), *state, m_domain, now) + drawWeight * staleness * draw;
         if (chosen == nullptr || score < best) {
             chosen = state;
             best = score;
--- a/serving/placement/servicechooser.h
+++ b/serving/placement/servicechooser.h
@@ -21,8 +21,8 @@
 /**
  * Chooses a replica of a plain service, preferring the own failure domain at about equal load.
  *
- * Without latencies, or while they are disabled, the replica with the least load by slots is chosen. With them it is the
- * one that is expected to complete the request first. A request that would have to queue at a replica beyond its
+ * Without latencies, or while they are disabled, the replica with the least load by slots is chosen. With them it is
+ * the one that is expected to complete the request first. A request that would have to queue at a replica beyond its
  * objective waits on this host instead, where the replica that frees up first can still be chosen.
  */
 class ServiceChooser
--- a/serving/queueing/activerequest.h
+++ b/serving/queueing/activerequest.h
@@ -71,7 +71,8 @@
     bool hasBegun = false; ///< Whether a part of the current attempt's answer has arrived.
     bool isStarting = false; ///< Whether the current attempt's answer has yet to progress.
     EventScanner progress; ///< Events of the current attempt's response.
-    double expectedLatency = 0; ///< Milliseconds until the current attempt's response at an average replica; 0 if unknown.
+    double expectedLatency
+        = 0; ///< Milliseconds until the current attempt's response at an average replica; 0 if unknown.
     double queueFactor = 1; ///< Part of it that stands for requests ahead: 1 if there are none.
     double countedRatio = 0; ///< Observed by expected time at which the current attempt last counted as slow.
     double prefillAhead = 0; ///< Prompt tokens that its replica had to read when it was sent, its own included.
--- a/serving/servingnode.h
+++ b/serving/servingnode.h
@@ -152,8 +152,8 @@
     RecordMirror m_coordination;
     LoadCoordinator m_loads;
     HeartbeatExchange m_heartbeats;
-    LatencyExchange m_latencyExchange {{m_settings, m_ports.clock, m_ports.peers, m_ports.log, m_members, m_backends,
-                                        m_latencies}};
+    LatencyExchange m_latencyExchange {
+        {m_settings, m_ports.clock, m_ports.peers, m_ports.log, m_members, m_backends, m_latencies}};
     PromptRecords m_promptRecords;
     HostRegistry m_registry;
     /** Replicas whose entries were removed right after a store outage, and until when these may be written again. */
--- a/tests/serving/learnedcapacitytest.cpp
+++ b/tests/serving/learnedcapacitytest.cpp
@@ -215,8 +215,8 @@
             for (const auto &[address, message] : std::exchange(from->peers.sent, {})) {
                 CapacityHost &to = *m_hosts[std::stoul(address) - 100];
                 const HostId &sender = from->settings.host;
-                if (const auto *heartbeat = std::get_if<HostHeartbeat>(&message); heartbeat != nullptr && to.isRunning
-                    && to.members.onHeartbeat(sender, *heartbeat, m_clock.now())) {
+                if (const auto *heartbeat = std::get_if<HostHeartbeat>(&message);
+                    heartbeat != nullptr && to.isRunning && to.members.onHeartbeat(sender, *heartbeat, m_clock.now())) {
                     to.heartbeats.receive(sender, *heartbeat);
                 } else if (const auto *report = std::get_if<LatencyReport>(&message)) {
                     to.exchange.receive(sender, *report);
