--- a/serving/placement/servicechooser.cpp
+++ b/serving/placement/servicechooser.cpp
@@ -23,8 +23,12 @@
 constexpr double lateQueueFraction = 0.15;
 // Part of the choice that is random even if reports are fresh, so that hosts with the same view differ.
 constexpr double minStaleness = 0.1;
-// Half of the logarithm of an exponential variable makes the probability fall with the square of the expected time.
-constexpr double drawWeight = 0.5;
+// A quarter of the logarithm of an exponential variable makes the probability fall with the fourth power of the
+// expected time: a server that is 2.5 times as slow keeps about a hundredth of the work of four, by which its recovery
+// is noticed.
+constexpr double drawWeight = 0.25;
+// Preference for replicas with free slots, as far as the reports are recent. It evens out the hosts' random choices.
+constexpr double loadWeight = 4;
 constexpr double minDraw = 1e-9; // keeps the logarithm finite
 
 }
@@ -106,8 +110,8 @@
             continue;
         }
         const double draw = std::log(std::max(-std::log(1 - m_random->unit()), minDraw));
-        const double score
-            = penalties.score(std::log(factor * queue), *state, m_domain, now) + drawWeight * staleness * draw;
+        const double cost = std::log(factor * queue) + loadWeight * (1 - staleness) * running / slots;
+        const double score = penalties.score(cost, *state, m_domain, now) + drawWeight * staleness * draw;
         if (chosen == nullptr || score < best) {
             chosen = state;
             best = score;
--- a/serving/placement/servicechooser.h
+++ b/serving/placement/servicechooser.h
@@ -46,7 +46,8 @@
      * Chooses by expected completion.
      *
      * Reports of other hosts are older than most work lasts. So the choice is drawn, with a probability that falls with
-     * the square of the expected time, as far as the reports are old compared with the work; otherwise it is the first.
+     * the fourth power of the expected time, as far as the reports are old compared with the work; otherwise it is the
+     * first.
      */
     BackendState *chooseByLatency(const ActiveRequest &active, const std::vector<BackendState *> &usable, Millis now);
 
