--- a/core/eventcode.h
+++ b/core/eventcode.h
@@ -49,6 +49,8 @@
     OrderFailed = 414,
     VersionAnnounced = 415,
     OwnershipSuspended = 420,
+    ReplicaSlow = 421,
+    ReplicaRecovered = 422,
     AnswerDropped = 500,
     RequestRefused = 501,
     RequestRetried = 502,
--- a/serving/servingnode.cpp
+++ b/serving/servingnode.cpp
@@ -63,6 +63,10 @@
     {
         node.onStoreProof(proof);
     }
+    void operator()(const LatencyReport &report) const
+    {
+        node.m_latencyExchange.receive(from, report);
+    }
     void operator()(const AdapterRequest &request) const
     {
         node.m_loads.onAdapterRequest(request);
@@ -96,7 +100,7 @@
     , m_prompts(m_ports.clock, m_backends, m_ports.log, m_random)
     , m_requestLog(m_ports.log, m_ports.metrics)
     , m_dispatcher({m_ports.clock, m_ports.callers, m_ports.attempts, m_admission, m_backends, m_residency, m_versions,
-                    m_chooser, m_prompts, m_requestLog, m_settings.domain})
+                    m_chooser, m_prompts, m_requestLog, m_settings.domain, &m_latencies, &m_random})
     , m_configuration(m_ports.store, Collection::Configuration, {hubPolling.configWatchTimeout, configPollInterval},
                       m_ports.clock, m_random, m_ports.log,
                       [this](const std::vector<StoredRecord> &records) {
@@ -125,6 +129,7 @@
     , m_config(m_ports.clock.now())
     , m_startedAt(m_ports.clock.now())
 {
+    m_chooser.setLatencies(m_latencies);
     setSettings(m_settings);
     m_ports.log.record(EventCode::NodeStarted, m_settings.host.text(), "incarnation " + m_members.incarnation().text());
 }
@@ -403,6 +408,7 @@
         m_members.setListed();
     }
     m_heartbeats.send(makeOwnHeartbeat());
+    m_latencyExchange.send();
     m_versionRecords.sendProofs(m_members, m_ports.peers);
     m_storeProofs.send(copyStates(), m_members, m_ports.peers, m_ports.clock.now());
     const PromptReport report = m_prompts.takeReport();
@@ -489,6 +495,7 @@
             {"vanillaspar_listed_hosts", static_cast<double>(callerAddresses(m_settings.domain).size())},
             {"vanillaspar_suspect_prompt_parts", static_cast<double>(m_prompts.suspectCount())},
             {"vanillaspar_blocked_prompt_parts", static_cast<double>(m_prompts.blocked().parts().size())},
+            {"vanillaspar_slow_replicas", m_latencyExchange.slowCount()},
             {"vanillaspar_ready", isReady() ? 1.0 : 0.0}};
 }
 
