Control overload: order of sending, refusals at once, demand exchanged through hubs

Cause: a queue served by priority and arrival makes every request in it late once it is longer than the objective, and each host sends less urgent requests while more urgent ones wait at others.

Change: OverloadPolicy orders waiting requests by whether they can be in time, by urgency and by when they become late, and refuses the others at once. DemandReport tells hosts through hubs what waits; PoolDemand derives the threshold of each pool. ServiceFloor keeps a floor for each route and team. Off by default (feature overload-control).

--- a/cluster/message.h
+++ b/cluster/message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cluster/messages/demand.h"
 #include "cluster/messages/fetch.h"
 #include "cluster/messages/fleet.h"
 #include "cluster/messages/ping.h"
@@ -21,6 +22,6 @@
 using Message = std::variant<Ping, Pong, WorkRequest, WorkCancel, WorkPiece, WorkEnd, TokenRequest, TokenGrant,
                              TokenRefund, ConfigRequest, ConfigResponse, ClusterStateRequest, ClusterStateResponse,
                              RelayRequest, RelayResponse, HostHeartbeat, ResidencyReportBatch, AdapterRequest,
-                             AdapterUseBatch, PromptReport, VersionProof>;
+                             AdapterUseBatch, PromptReport, VersionProof, DemandReport>;
 
 }
--- a/core/eventcode.cpp
+++ b/core/eventcode.cpp
@@ -57,6 +57,8 @@
         {EventCode::AnswerOutdated, Severity::Warning, "answer-outdated"},
         {EventCode::RequestWithdrawn, Severity::Info, "request-withdrawn"},
         {EventCode::RequestUnanswered, Severity::Warning, "request-unanswered"},
+        {EventCode::OverloadBegan, Severity::Warning, "overload-began"},
+        {EventCode::OverloadEnded, Severity::Info, "overload-ended"},
         {EventCode::MessageRejected, Severity::Warning, "message-rejected"},
         {EventCode::LinesDropped, Severity::Warning, "lines-dropped"},
     };
--- a/core/eventcode.h
+++ b/core/eventcode.h
@@ -58,6 +58,8 @@
     AnswerOutdated = 510,
     RequestWithdrawn = 511,
     RequestUnanswered = 512,
+    OverloadBegan = 516,
+    OverloadEnded = 517,
     MessageRejected = 600,
     LinesDropped = 601,
 };
--- a/serving/dispatcher.cpp
+++ b/serving/dispatcher.cpp
@@ -40,6 +40,7 @@
     , m_versionGuard(m_context.clock, m_context.versions, m_context.residency, m_context.log)
     , m_tracker(m_context.clock, m_context.backends, m_context.chooser, m_context.prompts, m_versionGuard,
                 m_context.log)
+    , m_overload(m_context.backends, m_context.admission)
     , m_incompleteEvents(maxEventBytes, maxIncompleteBytes)
 {
 }
@@ -76,6 +77,7 @@
     }
     ActiveRequest &active = m_requests.add(makeActiveRequest(std::move(request), admitted));
     m_retryBudgets.of(active.pool, now).onRequest(now);
+    m_overload.onArrived(active, now);
     placeOrQueue(active);
 }
 
@@ -96,14 +98,8 @@
     if (tryPlace(active) != Placement::Waits) {
         return;
     }
-    const int64_t ahead = m_waiting.countAhead(active);
-    const Millis wait = m_waiting.expectedWait(active.pool, ahead);
-    const bool isTooLong = m_context.clock.now() + wait > active.waitDeadline;
-    // A stream to be resumed is not refused early; it waits for up to resumeWait.
-    if (isTooLong && !active.isResponding()) {
-        refuse(active,
-               {RefusalCode::Overloaded, RunState::NotRun, std::max(wait, overloadRetry),
-                "expected wait " + std::to_string(wait.value) + " ms behind " + std::to_string(ahead) + " requests"});
+    if (const std::optional<Refusal> refusal = m_overload.checkWait(active, m_waiting, m_context.clock.now())) {
+        refuse(active, *refusal);
         return;
     }
     m_waiting.insert(active);
@@ -150,7 +146,7 @@
         m_adapterDemand.onNeeded(choice.loadTarget->info.id, active.request.weights,
                                  now + normalWait < active.lateAfter);
     }
-    if (choice.backend != nullptr) {
+    if (choice.backend != nullptr && !m_overload.mustHold(active, *choice.backend, now)) {
         send(active, *choice.backend);
         return Placement::Sent;
     }
@@ -173,6 +169,7 @@
     if (active.attemptCount > 1) {
         m_context.log.onResent(active, m_retryBudgets.of(active.pool, now).state(now), now);
     }
+    m_overload.onSent(active, now);
     m_tracker.onSending(active, backend);
     m_context.attempts.send(active.attempt, backend.info, active.request,
                             {active.deadline - now, active.team, active.priority, isRepeated, active.versions.expected,
@@ -183,7 +180,7 @@
 {
     m_waiting.observe(m_context.clock.now());
     // Sending a request may end it or others and so change the queue.
-    for (const uint64_t exchange : m_waiting.exchanges()) {
+    for (const uint64_t exchange : m_overload.order(m_waiting.exchanges(), m_requests, m_context.clock.now())) {
         ActiveRequest *active = m_requests.find(exchange);
         if (active == nullptr || active->attempt != 0 || tryPlace(*active) != Placement::Sent) {
             continue;
@@ -205,7 +202,7 @@
             due.emplace_back(exchange, &Dispatcher::withdraw);
             continue;
         }
-        if (now >= (active->attempt == 0 ? active->waitDeadline : active->deadline)) {
+        if (now >= (active->attempt == 0 ? active->waitDeadline : active->deadline) || m_overload.isHopeless(*active)) {
             due.emplace_back(exchange, &Dispatcher::expire);
         } else if (m_tracker.isOutcomeOverdue(*active) || m_versionGuard.mustWithdraw(*active)) {
             due.emplace_back(exchange, &Dispatcher::breakOff);
@@ -244,7 +241,7 @@
 void Dispatcher::expire(ActiveRequest &active)
 {
     if (active.attempt == 0) {
-        refuse(active, {RefusalCode::Overloaded, RunState::NotRun, overloadRetry, "no replica had room in time"});
+        refuse(active, m_overload.waitRefusal(active, m_context.clock.now()));
         return;
     }
     if (active.isResponding()) {
@@ -446,6 +443,7 @@
     m_tracker.onCompleted(active);
     m_context.log.onServed(active, m_context.clock.now());
     m_stopGate.onServed(active, m_context.clock.now());
+    m_overload.onServed(active, m_context.clock.now());
     const uint64_t exchange = active.request.exchange;
     if (const std::string rest = active.events.takeIncomplete(); !rest.empty()) {
         m_context.callers.append(exchange, rest); // may end the request
--- a/serving/dispatcher.h
+++ b/serving/dispatcher.h
@@ -12,6 +12,7 @@
 #include "serving/placement/servicechooser.h"
 #include "serving/placement/versionguard.h"
 #include "serving/queueing/activerequest.h"
+#include "serving/queueing/overloadcontrol.h"
 #include "serving/queueing/requesttable.h"
 #include "serving/queueing/stopgate.h"
 #include "serving/queueing/waitingqueue.h"
@@ -66,10 +67,10 @@
 /**
  * Queues, sends and retries requests until each has a complete response or a refusal.
  *
- * Requests wait in a queue, ordered by priority and arrival, until a replica has capacity, and are then sent to it
- * directly. A request that was never sent or that a replica states not to have executed is sent to another replica. One
- * that may have been executed is retried only if its route allows it. A refusal states whether the request was executed
- * at all, as far as that is known.
+ * Requests wait in a queue, ordered by priority and arrival or by OverloadControl, until a replica has capacity, and
+ * are then sent to it directly. A request that was never sent or that a replica states not to have executed is sent to
+ * another replica. One that may have been executed is retried only if its route allows it. A refusal states whether the
+ * request was executed at all, as far as that is known.
  */
 class Dispatcher
 {
@@ -121,6 +122,11 @@
     {
         return m_requests.adapterUses();
     }
+    /** @return how scarce capacity is shared; disabled by default. */
+    OverloadControl &overload()
+    {
+        return m_overload;
+    }
     /** @return requests for loading the adapters that were needed since the last call, one per replica and adapter. */
     std::vector<AdapterRequest> takeAdapterRequests();
 
@@ -195,6 +201,7 @@
     AttemptTracker m_tracker;
     RequestTable m_requests;
     WaitingQueue m_waiting;
+    OverloadControl m_overload;
     PoolRetryBudgets m_retryBudgets;
     AdapterDemand m_adapterDemand;
     BufferShares m_incompleteEvents;
--- a/serving/loadcoordinator.cpp
+++ b/serving/loadcoordinator.cpp
@@ -105,6 +105,13 @@
     }
 }
 
+void LoadCoordinator::onUseReports(const HostId &from, const AdapterUseBatch &batch)
+{
+    for (const AdapterUseReport &report : batch.reports) {
+        onUseReport(from, report);
+    }
+}
+
 void LoadCoordinator::onAdapterRequest(const AdapterRequest &request)
 {
     if (ReplicaOrders *orders = ordersOf(request.replica)) {
--- a/serving/loadcoordinator.h
+++ b/serving/loadcoordinator.h
@@ -90,6 +90,8 @@
     void onAdapterRequest(const AdapterRequest &request);
     /** Handles a report of what a host uses in a replica that this host owns. */
     void onUseReport(const HostId &from, const AdapterUseReport &report);
+    /** Handles several such reports. */
+    void onUseReports(const HostId &from, const AdapterUseBatch &batch);
     /**
      * Handles residency reports of other owners. A hub forwards new ones to its leaf hosts, and those of a leaf host to
      * the other hubs as well.
--- a/serving/queueing/waitingqueue.cpp
+++ b/serving/queueing/waitingqueue.cpp
@@ -2,7 +2,9 @@
 
 #include "serving/queueing/activerequest.h"
 
+#include <algorithm>
 #include <set>
+#include <string>
 
 namespace vanillaspar::serving
 {
@@ -11,6 +13,7 @@
 {
 
 constexpr Millis normalWait(300); // time to request an adapter and load it from the weight store
+constexpr Millis overloadRetry(300); // about the time in which a batch completes a few of its requests
 
 }
 
@@ -60,9 +63,16 @@
     return ahead;
 }
 
-Millis WaitingQueue::expectedWait(const PoolId &pool, int64_t ahead)
+std::optional<Refusal> WaitingQueue::checkWait(const ActiveRequest &active, Millis now)
 {
-    return m_estimates[pool].expectedWait(ahead);
+    const int64_t ahead = countAhead(active);
+    const Millis wait = m_estimates[active.pool].expectedWait(ahead);
+    if (now + wait <= active.waitDeadline || active.isResponding()) {
+        return std::nullopt;
+    }
+    return Refusal {RefusalCode::Overloaded, RunState::NotRun, std::max(wait, overloadRetry),
+                    "expected wait " + std::to_string(wait.value) + " ms behind " + std::to_string(ahead)
+                        + " requests"};
 }
 
 std::vector<uint64_t> WaitingQueue::exchanges() const
--- a/serving/queueing/waitingqueue.h
+++ b/serving/queueing/waitingqueue.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "core/ids.h"
+#include "core/refusal.h"
 #include "core/units.h"
 #include "policy/waitestimate.h"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -30,8 +32,9 @@
 
     /** @return number of waiting requests of the same pool that are at least as urgent. */
     int64_t countAhead(const ActiveRequest &active) const;
-    /** @return the expected wait of a request with @p ahead requests of its pool before it. */
-    Millis expectedWait(const PoolId &pool, int64_t ahead);
+    /** @return the refusal of a request that no replica has room for, if its expected wait is too long for its
+     *     objective. A stream to be resumed is not refused. */
+    std::optional<Refusal> checkWait(const ActiveRequest &active, Millis now);
     /** @return the exchanges of the waiting requests in sending order. */
     std::vector<uint64_t> exchanges() const;
     size_t size() const
--- a/serving/servingnode.cpp
+++ b/serving/servingnode.cpp
@@ -64,15 +64,17 @@
     {
         node.m_versionRecords.onProof(proof, node.m_members);
     }
+    void operator()(const DemandReport &report) const
+    {
+        node.m_demands.receive(from, report);
+    }
     void operator()(const AdapterRequest &request) const
     {
         node.m_loads.onAdapterRequest(request);
     }
     void operator()(const AdapterUseBatch &batch) const
     {
-        for (const AdapterUseReport &report : batch.reports) {
-            node.m_loads.onUseReport(from, report);
-        }
+        node.m_loads.onUseReports(from, batch);
     }
     template<class Other>
     void operator()(const Other & /*message*/) const
@@ -118,6 +120,7 @@
     , m_loads({m_settings, m_ports.clock, m_ports.store, m_ports.peers, m_ports.orders, m_ports.log, m_admission,
                m_members, m_backends, m_residency, m_versions, m_coordination})
     , m_heartbeats({m_settings, m_ports.clock, m_ports.peers, m_ports.log, m_members, m_admission, m_backends})
+    , m_demands({m_settings, m_ports.clock, m_ports.peers, m_ports.log, m_members, m_dispatcher.overload()})
     , m_promptRecords(m_ports.clock, m_ports.store, m_ports.log, m_prompts, m_coordination)
     , m_registry(m_settings, m_ports.clock, m_ports.store, m_ports.log, m_members, m_coordination,
                  [this] {
@@ -398,6 +401,7 @@
         m_members.setListed();
     }
     m_heartbeats.send(makeOwnHeartbeat());
+    m_demands.send();
     m_versionRecords.sendProofs(m_members, m_ports.peers);
     const PromptReport report = m_prompts.takeReport();
     if (!report.isEmpty()) {
@@ -482,6 +486,9 @@
             {"vanillaspar_listed_hosts", static_cast<double>(callerAddresses(m_settings.domain).size())},
             {"vanillaspar_suspect_prompt_parts", static_cast<double>(m_prompts.suspectCount())},
             {"vanillaspar_blocked_prompt_parts", static_cast<double>(m_prompts.blocked().parts().size())},
+            {"vanillaspar_overload_refusals", static_cast<double>(m_demands.counts().refused)},
+            {"vanillaspar_overload_holds", static_cast<double>(m_demands.counts().held)},
+            {"vanillaspar_overload_owed", static_cast<double>(m_demands.counts().owed)},
             {"vanillaspar_ready", isReady() ? 1.0 : 0.0}};
 }
 
--- a/serving/servingnode.h
+++ b/serving/servingnode.h
@@ -10,6 +10,7 @@
 #include "serving/interfaces/recorddecoder.h"
 #include "serving/interfaces/servingsettings.h"
 #include "serving/loadcoordinator.h"
+#include "serving/membership/demandexchange.h"
 #include "serving/membership/fleetmembers.h"
 #include "serving/membership/heartbeatexchange.h"
 #include "serving/membership/hostregistry.h"
@@ -149,6 +150,7 @@
     RecordMirror m_coordination;
     LoadCoordinator m_loads;
     HeartbeatExchange m_heartbeats;
+    DemandExchange m_demands;
     PromptRecords m_promptRecords;
     HostRegistry m_registry;
     /** Replicas whose entries were removed right after a store outage, and until when these may be written again. */
