--- a/serving/queueing/overloadcontrol.cpp
+++ b/serving/queueing/overloadcontrol.cpp
@@ -23,6 +23,10 @@
 // Below this use of a pool's slots its free slots are of use to less urgent requests even if more urgent ones wait,
 // for example because their adapters are resident in few replicas.
 constexpr double holdingUse = 0.9;
+// Above this use hosts share the free slots, so that they don't all send to the same ones. It begins earlier than
+// holding, as what other hosts have sent lately isn't known.
+constexpr double sharingUse = 0.85;
+constexpr double maxPlainPerSlot = 3.0; // as ServiceChooser allows: one that is worked on and two queued
 // A waiting request whose expected wait exceeds the rest of its time by little may still be in time, as the estimate is
 // not exact.
 constexpr double waitTolerance = 0.8;
@@ -71,6 +75,7 @@
     }
     PoolState &pool = m_pools[active.pool];
     ++pool.sends;
+    pool.share.onSent();
     if (now > active.request.receivedAt) {
         pool.wait.onSent();
     }
@@ -90,6 +95,7 @@
         return;
     }
     PoolState &pool = m_pools[active.pool];
+    pool.share.onEnded();
     if (active.isEngine) {
         if (active.attemptCount == 1 && active.answeredAt >= active.sentAt) {
             pool.firstEvents.observe(active.prefillAhead, active.answeredAt - active.sentAt);
@@ -264,33 +270,40 @@
     return refusalOf(active, pool, "expected wait " + std::to_string(wait.value) + " ms", now);
 }
 
-int OverloadControl::thresholdOf(const PoolId &id, PoolState &pool, Millis now) const
+OverloadControl::SlotCounts OverloadControl::countSlots(const PoolId &id, const PoolState &pool, Millis now) const
 {
-    if (pool.thresholdAt == now) {
-        return pool.threshold;
-    }
-    PoolDemand all = pool.own;
-    all += pool.others;
-    pool.thresholdAt = now;
-    pool.threshold = PoolDemand::noThreshold;
-    if (all.waitingCount() == 0) {
-        return pool.threshold;
-    }
     const EngineSpec *engine = m_admission.engineOf(id);
-    int64_t slots = 0;
-    int64_t free = 0;
+    double perSlot = 1;
+    if (engine == nullptr && pool.workTime > 0) {
+        const auto objective = static_cast<double>(shortestObjective(id).value);
+        perSlot = std::clamp(objective / pool.workTime - residualWork, 1.0, maxPlainPerSlot);
+    }
+    SlotCounts counts;
     for (const BackendState *state : m_backends.usable(id)) {
-        slots += state->info.slots;
+        counts.all += state->info.slots;
         const bool isCacheFull = engine != nullptr && engine->cacheTokens > 0
             && state->own.tokens + state->peers.tokens >= engine->cacheTokens;
         if (!state->pause.isActive(now) && !isCacheFull) {
-            free += std::max<int64_t>(state->info.slots - state->running(), 0);
+            const auto bound = static_cast<int64_t>(static_cast<double>(state->info.slots) * perSlot);
+            counts.free += std::max<int64_t>(state->info.slots - state->running(), 0);
+            counts.open += std::max<int64_t>(bound - state->running(), 0);
         }
     }
-    if (static_cast<double>(free) <= static_cast<double>(slots) * (1 - holdingUse)) {
-        pool.threshold = all.threshold(free);
+    return counts;
+}
+
+void OverloadControl::updateThreshold(const PoolId &id, PoolState &pool, Millis now) const
+{
+    if (pool.thresholdAt == now) {
+        return;
     }
-    return pool.threshold;
+    pool.thresholdAt = now;
+    PoolDemand all = pool.own;
+    all += pool.others;
+    const SlotCounts slots = countSlots(id, pool, now);
+    const double freeShare = static_cast<double>(slots.free) / static_cast<double>(std::max<int64_t>(slots.all, 1));
+    pool.isTight = freeShare <= 1 - sharingUse;
+    pool.threshold = freeShare <= 1 - holdingUse ? all.threshold(slots.free) : PoolDemand::noThreshold;
 }
 
 bool OverloadControl::fitsQueue(const ActiveRequest &active, const BackendState &backend, const PoolState &pool,
@@ -310,9 +323,11 @@
         return false;
     }
     PoolState &pool = m_pools[active.pool];
-    if (fitsQueue(active, backend, pool, now)) {
+    updateThreshold(active.pool, pool, now);
+    const bool isShareUsed = pool.isTight && !pool.share.isOpen();
+    if (!isShareUsed && fitsQueue(active, backend, pool, now)) {
         WaitingWork work = workOf(active, pool, now);
-        if (work.level <= thresholdOf(active.pool, pool, now) || m_owed.count(work.id) > 0) {
+        if (work.level <= pool.threshold || m_owed.count(work.id) > 0) {
             return false;
         }
         markOwed(work, active, pool, now);
@@ -332,6 +347,9 @@
     for (auto &[id, pool] : m_pools) {
         pool.own.sends = pool.earlierSends + pool.sends;
         pool.earlierSends = std::exchange(pool.sends, 0);
+        const int64_t ownDemand = pool.own.waitingCount() + pool.own.sends;
+        const int64_t allDemand = ownDemand + pool.others.waitingCount() + pool.others.sends;
+        pool.share.beginRound(countSlots(id, pool, now).open, ownDemand, allDemand, m_backends.reportAge());
         pool.thresholdAt = Millis(-1);
         if (pool.own.sends > 0 || pool.own.waitingCount() > 0) {
             demands[shortHash(id.text())] = pool.own;
--- a/serving/queueing/overloadcontrol.h
+++ b/serving/queueing/overloadcontrol.h
@@ -7,6 +7,7 @@
 #include "policy/overloadpolicy.h"
 #include "policy/pooldemand.h"
 #include "policy/servicefloor.h"
+#include "policy/slotshare.h"
 #include "policy/waitestimate.h"
 
 #include <cstdint>
@@ -100,11 +101,21 @@
         double workTime = 0; ///< Mean time of a plain request at a replica that isn't busy, in milliseconds.
         ServiceFloor floor;
         std::map<std::string, int> owed; ///< Requests in the queue that are owed, by kind.
+        SlotShare share;
+        bool isTight = false; ///< Whether most slots are in use, as of thresholdAt.
         int threshold = PoolDemand::noThreshold;
         Millis thresholdAt {-1};
         Millis overloadedAt {INT64_MIN / 2}; ///< When a request was last refused or held back.
     };
 
+    /** The slots of a pool. */
+    struct SlotCounts
+    {
+        int64_t all = 0;
+        int64_t free = 0;
+        int64_t open = 0; ///< Free, or for plain services in queues that are short enough for the objective.
+    };
+
     WaitingWork workOf(const ActiveRequest &active, const PoolState &pool, Millis now) const;
     /** @return the shortest objective of the pool's routes; 0 if it has none. */
     Millis shortestObjective(const PoolId &pool) const;
@@ -113,7 +124,9 @@
     void findHopeless(const PoolState &pool, Millis now);
     /** Marks a request as owed if one of its kinds is below its floor, counting those that are marked already. */
     static void markOwed(WaitingWork &work, const ActiveRequest &active, PoolState &pool, Millis now);
-    int thresholdOf(const PoolId &id, PoolState &pool, Millis now) const;
+    /** Updates the pool's threshold and whether its slots are scarce. */
+    void updateThreshold(const PoolId &id, PoolState &pool, Millis now) const;
+    SlotCounts countSlots(const PoolId &id, const PoolState &pool, Millis now) const;
     /** @return whether more may be queued at @p backend for the request to be in time; true for a free slot. */
     static bool fitsQueue(const ActiveRequest &active, const BackendState &backend, const PoolState &pool, Millis now);
     Refusal refusalOf(const ActiveRequest &active, PoolState &pool, const std::string &why, Millis now);
--- a/tests/policy/overloadpolicytest.cpp
+++ b/tests/policy/overloadpolicytest.cpp
@@ -2,6 +2,7 @@
 
 #include "policy/pooldemand.h"
 #include "policy/servicefloor.h"
+#include "policy/slotshare.h"
 
 #include <gtest/gtest.h>
 
@@ -114,6 +115,27 @@
     EXPECT_LT(floor.deficit("batch", end + Millis(30000)), 0.1);
 }
 
+// Guards against every host filling all free slots that all of them see, and against a slot of the host's own that
+// stays empty until the others' reports arrive.
+TEST(SlotShare, AHostTakesItsShareAndItsOwnEndedSlots)
+{
+    SlotShare share;
+    share.beginRound(40, 10, 100, Millis(100)); // a tenth of 40 slots, over two rounds
+    int64_t sent = 0;
+    for (; share.isOpen(); ++sent) {
+        share.onSent();
+    }
+    EXPECT_EQ(sent, 2);
+    share.onEnded();
+    EXPECT_TRUE(share.isOpen());
+    SlotShare alone;
+    alone.beginRound(3, 10, 10, Millis(0));
+    for (sent = 0; alone.isOpen(); ++sent) {
+        alone.onSent();
+    }
+    EXPECT_EQ(sent, 3);
+}
+
 }
 
 }
