--- a/core/eventcode.cpp
+++ b/core/eventcode.cpp
@@ -64,6 +64,8 @@
         {EventCode::RequestWithdrawn, Severity::Info, "request-withdrawn"},
         {EventCode::RequestUnanswered, Severity::Warning, "request-unanswered"},
         {EventCode::CallersGivenUp, Severity::Warning, "callers-given-up"},
+        {EventCode::OverloadBegan, Severity::Warning, "overload-began"},
+        {EventCode::OverloadEnded, Severity::Info, "overload-ended"},
         {EventCode::MessageRejected, Severity::Warning, "message-rejected"},
         {EventCode::LinesDropped, Severity::Warning, "lines-dropped"},
     };
--- a/core/eventcode.h
+++ b/core/eventcode.h
@@ -65,6 +65,8 @@
     RequestWithdrawn = 511,
     RequestUnanswered = 512,
     CallersGivenUp = 520,
+    OverloadBegan = 516,
+    OverloadEnded = 517,
     MessageRejected = 600,
     LinesDropped = 601,
 };
--- a/serving/servingnode.h
+++ b/serving/servingnode.h
@@ -11,6 +11,7 @@
 #include "serving/interfaces/servingsettings.h"
 #include "serving/loadcoordinator.h"
 #include "serving/membership/configstate.h"
+#include "serving/membership/demandexchange.h"
 #include "serving/membership/fleetmembers.h"
 #include "serving/membership/heartbeatexchange.h"
 #include "serving/membership/hostregistry.h"
@@ -168,6 +169,7 @@
     HeartbeatExchange m_heartbeats;
     LatencyExchange m_latencyExchange {
         {m_settings, m_ports.clock, m_ports.peers, m_ports.log, m_members, m_backends, m_latencies}};
+    DemandExchange m_demands;
     PromptRecords m_promptRecords;
     HostRegistry m_registry;
     /** Replicas whose entries were removed right after a store outage, and until when these may be written again. */
