Purge outdated latencies once a second instead of in each round

Cause: a purge adds up the reports of all hosts for each replica, ten times a second on each host. Change: every tenth round.

--- a/serving/membership/latencyexchange.cpp
+++ b/serving/membership/latencyexchange.cpp
@@ -19,6 +19,7 @@
 {
 
 constexpr uint64_t leafRounds = 2; // hubs and leaf hosts exchange reports in every second round, as heartbeats
+constexpr uint64_t purgeRounds = 10; // a second
 constexpr Millis relayTimeout(700); // without a report of the relaying hub, as for heartbeats
 constexpr double slowFactor = 2;
 constexpr double recoveredFactor = 1.5;
@@ -38,7 +39,9 @@
     }
     ++m_round;
     const Millis now = m_context.clock.now();
-    m_context.latencies.purge(now);
+    if (m_round % purgeRounds == 0) {
+        m_context.latencies.purge(now);
+    }
     const FleetMembers &members = m_context.members;
     const HostId &self = m_context.settings.host;
     const bool isOwnHub = members.isHub(self);
