After a restore, let peers state their configuration's version before the copy is a proof

Change: ConfigState takes the restored copy for a proof only once peers could state newer versions; an outdated configuration is trusted until no time at all.

--- a/serving/membership/configstate.cpp
+++ b/serving/membership/configstate.cpp
@@ -10,14 +10,18 @@
 namespace
 {
 
-// Peers state their configuration's version four times a second to hosts that they know; a host that starts is known
-// within a second.
-constexpr Millis comparisonTimeout(1500);
+// A host whose record was removed while it was cut off is known to the others that long after it reaches the store.
+constexpr Millis comparisonTime(4000);
+// Peers state their configuration's version four times a second. The first one may have been cut off as well.
+constexpr Millis proofRounds(500);
 
 }
 
-bool ConfigState::admit(const StoredRecord &record, ConfigVersion version, EventLog &log)
+bool ConfigState::admit(const StoredRecord &record, ConfigVersion version, Millis now, EventLog &log)
 {
+    if (record.isRestored || (m_position.isNone() && record.position.era > 0)) {
+        m_comparedAt = now + comparisonTime;
+    }
     if (record.isRestored) {
         m_highestRejected = std::max(m_highestRejected, m_version);
     }
@@ -35,27 +39,26 @@
     return true;
 }
 
-void ConfigState::onPeerCopy(const CopyState &copy, RecordMirror &mirror)
+void ConfigState::onPeerCopy(const CopyState &copy, RecordMirror &mirror, Millis now)
 {
     if (copy.position > m_position && mirror.isLoaded()) {
         mirror.refresh();
-    } else if (copy.position == m_position) {
+    } else if (copy.position == m_position && now >= m_comparedAt) {
         m_freshAsOf = std::max(m_freshAsOf, copy.freshAsOf);
     }
 }
 
-void ConfigState::onPeerVersion(StorePosition position, ConfigVersion version)
+void ConfigState::onPeerVersion(StorePosition position, ConfigVersion version, Millis now)
 {
     if (position == m_position && !position.isNone()) {
-        m_isComparedWithPeer = true;
         m_peerVersion = std::max(m_peerVersion, version);
+        m_comparedAt = std::min(m_comparedAt, now + proofRounds);
     }
 }
 
 bool ConfigState::isOutdated(Millis now) const
 {
-    const bool mayBeCompared = m_position.era > 0 && !m_isComparedWithPeer && now - m_startedAt < comparisonTimeout;
-    return mayBeCompared || m_peerVersion > m_version;
+    return (m_freshAsOf.value < 0 && now < m_comparedAt) || m_peerVersion > m_version;
 }
 
 }
--- a/serving/membership/configstate.h
+++ b/serving/membership/configstate.h
@@ -29,25 +29,22 @@
 class ConfigState
 {
 public:
-    /** @param startedAt when this host's process started. */
-    explicit ConfigState(Millis startedAt) : m_startedAt(startedAt)
-    {
-    }
-
     /**
      * Notes a configuration that was read from the store.
      *
+     * For a moment after a restore the copy is no proof, so that peers can state the versions that they use.
+     *
      * @param version of the configuration itself, which the operator increases with each change.
      * @return whether it is to be applied; otherwise the one in force stays, which is logged.
      */
-    bool admit(const StoredRecord &record, ConfigVersion version, EventLog &log);
+    bool admit(const StoredRecord &record, ConfigVersion version, Millis now, EventLog &log);
     /** Takes over the freshness of a peer's copy, or lets the mirror read at once if the peer's copy is newer. */
-    void onPeerCopy(const CopyState &copy, RecordMirror &mirror);
+    void onPeerCopy(const CopyState &copy, RecordMirror &mirror, Millis now);
     /** A peer whose copy is at @p position uses the configuration with @p version. */
-    void onPeerVersion(StorePosition position, ConfigVersion version);
-    void onOwnCopy(Millis freshAsOf)
+    void onPeerVersion(StorePosition position, ConfigVersion version, Millis now);
+    void onOwnCopy(Millis freshAsOf, Millis now)
     {
-        m_freshAsOf = std::max(m_freshAsOf, freshAsOf);
+        m_freshAsOf = now < m_comparedAt ? m_freshAsOf : std::max(m_freshAsOf, freshAsOf);
     }
 
     /**
@@ -70,12 +67,11 @@
     }
 
 private:
-    Millis m_startedAt;
     StorePosition m_position;
     ConfigVersion m_version; ///< Of the configuration in force.
     ConfigVersion m_highestRejected {INT64_MIN}; ///< Configurations up to this version aren't applied.
     ConfigVersion m_peerVersion; ///< The newest that a peer uses although the store doesn't have it.
-    bool m_isComparedWithPeer = false; ///< Whether a peer with the same copy stated its version.
+    Millis m_comparedAt {INT64_MIN / 2}; ///< From when on peers have had time to state their versions since a restore.
     Millis m_freshAsOf {-1};
 };
 
--- a/serving/membership/promptrecords.cpp
+++ b/serving/membership/promptrecords.cpp
@@ -37,7 +37,7 @@
     for (const auto &[part, blocked] : m_guard.blocked().parts()) {
         const std::string name = BlockedParts::recordName(part);
         if (records.count(name) == 0 && m_open.insert(name).second) {
-            m_store.write(Collection::Coordination, name, BlockedParts::toJson(blocked), 0, handlerOf(name));
+            m_store.write(Collection::Coordination, name, BlockedParts::toJson(blocked), {}, handlerOf(name));
         }
     }
     for (const auto &[name, record] : records) {
--- a/serving/servingnode.cpp
+++ b/serving/servingnode.cpp
@@ -122,7 +122,6 @@
                  [this] {
                      m_heartbeats.emptyTokenBuckets(); // the others have used this host's share meanwhile
                  })
-    , m_config(m_ports.clock.now())
     , m_startedAt(m_ports.clock.now())
 {
     setSettings(m_settings);
@@ -145,7 +144,7 @@
         }
         try {
             const std::shared_ptr<const ServingConfig> config = m_ports.decoder.configuration(record);
-            if (config == nullptr || !m_config.admit(record, config->version, m_ports.log)) {
+            if (config == nullptr || !m_config.admit(record, config->version, m_ports.clock.now(), m_ports.log)) {
                 continue;
             }
             m_admission.setConfig(config, m_ports.clock.now());
@@ -269,7 +268,7 @@
     }
     m_heartbeats.receive(from, heartbeat);
     const Millis configFreshAsOf = m_members.freshAsOf(heartbeat, heartbeat.configuration);
-    m_config.onPeerCopy({{0, heartbeat.configuration.revision}, configFreshAsOf}, m_configuration);
+    m_config.onPeerCopy({{0, heartbeat.configuration.revision}, configFreshAsOf}, m_configuration, now);
     for (const uint32_t shortId : heartbeat.leaving) {
         if (const BackendState *state = m_backends.onLeavingReported(shortId, now)) {
             m_ports.log.record(EventCode::ReplicaLeaving, state->info.id.text(), "told by " + from.text());
@@ -293,8 +292,8 @@
         return;
     }
     const CopyStates copies = StoreProofs::decode(proof, m_members);
-    m_config.onPeerCopy(copies.configuration, m_configuration);
-    m_config.onPeerVersion(copies.configuration.position, copies.configurationVersion);
+    m_config.onPeerCopy(copies.configuration, m_configuration, m_ports.clock.now());
+    m_config.onPeerVersion(copies.configuration.position, copies.configurationVersion, m_ports.clock.now());
     onPeerBackends(copies.backends);
     m_loads.onPeerFreshness(copies.owners.position, copies.owners.freshAsOf);
     m_versionRecords.onProof(copies.versions);
@@ -303,9 +302,9 @@
 void ServingNode::updateConfigTrust()
 {
     const Millis now = m_ports.clock.now();
-    m_config.onOwnCopy(m_configuration.freshAsOf());
+    m_config.onOwnCopy(m_configuration.freshAsOf(), now);
     const bool isOutdated = m_config.isOutdated(now);
-    const Millis trustedUntil = isOutdated ? now : m_config.freshAsOf() + m_settings.revokeLimit - trustMargin;
+    const Millis trustedUntil = isOutdated ? Millis(-1) : m_config.freshAsOf() + m_settings.revokeLimit - trustMargin;
     m_admission.setKeysTrustedUntil(trustedUntil);
     const bool isTrusted = m_config.freshAsOf().value >= 0 && now < trustedUntil;
     if (m_wasTrusted && !isTrusted) {
