State the highest configuration version known, not the one in force, in proofs after a restore

Change: a host that learned of a newer version passes it on. StoreRestore.ARevokedKeyStaysRevoked passes.

--- a/serving/membership/configstate.h
+++ b/serving/membership/configstate.h
@@ -40,7 +40,7 @@
     bool admit(const StoredRecord &record, ConfigVersion version, Millis now, EventLog &log);
     /** Takes over the freshness of a peer's copy, or lets the mirror read at once if the peer's copy is newer. */
     void onPeerCopy(const CopyState &copy, RecordMirror &mirror, Millis now);
-    /** A peer whose copy is at @p position uses the configuration with @p version. */
+    /** A peer whose copy is at @p position knows that @p version of the configuration is or was in use. */
     void onPeerVersion(StorePosition position, ConfigVersion version, Millis now);
     void onOwnCopy(Millis freshAsOf, Millis now)
     {
@@ -56,9 +56,10 @@
     {
         return m_position;
     }
-    ConfigVersion version() const
+    /** @return the highest version that this host or, by their statements, a peer uses. */
+    ConfigVersion newestVersion() const
     {
-        return m_version;
+        return std::max(m_version, m_peerVersion);
     }
     /** @return the latest time at which the copy is known to have equalled the store's; negative if none. */
     Millis freshAsOf() const
--- a/serving/servingnode.h
+++ b/serving/servingnode.h
@@ -133,7 +133,7 @@
     CopyStates copyStates() const
     {
         return {{m_config.position(), m_config.freshAsOf()},
-                m_config.version(),
+                m_config.newestVersion(),
                 {m_loads.position(), m_loads.freshAsOf()},
                 {m_versionRecords.position(), m_versionRecords.freshAsOf()},
                 m_backendsPosition};
--- a/tests/platform/recorddecodertest.cpp
+++ b/tests/platform/recorddecodertest.cpp
@@ -63,7 +63,7 @@
         = Json::parse(R"({"service":"engines","address":"10.0.0.9:8080","zone":"z","version":"v1","slots":24,
       "state":"draining","cold_left_ms":0,"models":[{"name":"m","version":1,"adapters":["a3@2"]}],
       "pending":["m/a4@1"],"seqno":4,"born":1700000000000})");
-    const serving::Backend backend = decoder.backend({"i-1", 3, entry, false});
+    const serving::Backend backend = decoder.backend({"i-1", {0, 3}, entry, false});
     EXPECT_TRUE(backend.isLeaving);
     EXPECT_EQ(backend.residency.adapters[0].weights, "m/a3");
     EXPECT_EQ(backend.residency.adapters[0].version, 2);
@@ -81,7 +81,7 @@
          R"({"service":"s","address":"1.1.1.1:1","zone":"z","slots":"many","state":"ready"})",
          R"({"service":"s","address":"1.1.1.1:1","zone":"z","slots":1,"state":"resting"})",
          R"({"service":"s","address":"1.1.1.1:1","zone":"z","slots":1,"state":"ready","models":[{"name":"m","adapters":["a@x"]}]})"}) {
-        EXPECT_THROW(decoder.backend({"i-1", 3, Json::parse(text), false}), DecodeError) << text;
+        EXPECT_THROW(decoder.backend({"i-1", {0, 3}, Json::parse(text), false}), DecodeError) << text;
     }
 }
 
