Limit starts at cold replicas over all hosts, and evacuate failure domains

A replica that is cold crashes well above its pool's cold rate, and each host started requests there as at any other. Hubs report which replicas are cold and how old that knowledge is; a host without fresh knowledge treats each replica of a limited pool as cold.

Hubs follow the collection evacuations and report its state to their leaf hosts and each other; replicas of an evacuated domain get nothing new, and adapters in use there are requested elsewhere at once.

Off unless cold-overshoot or evacuation-limit-ms is set. Not run yet: builds.

--- a/cluster/message.h
+++ b/cluster/message.h
@@ -2,6 +2,7 @@
 
 #include "cluster/messages/fetch.h"
 #include "cluster/messages/fleet.h"
+#include "cluster/messages/limits.h"
 #include "cluster/messages/ping.h"
 #include "cluster/messages/pong.h"
 #include "cluster/messages/prompts.h"
@@ -18,9 +19,10 @@
  *
  * New alternatives are appended: the alternative's index is part of the wire format.
  */
-using Message = std::variant<Ping, Pong, WorkRequest, WorkCancel, WorkPiece, WorkEnd, TokenRequest, TokenGrant,
-                             TokenRefund, ConfigRequest, ConfigResponse, ClusterStateRequest, ClusterStateResponse,
-                             RelayRequest, RelayResponse, HostHeartbeat, ResidencyReportBatch, AdapterRequest,
-                             AdapterUseBatch, PromptReport, VersionProof>;
+using Message
+    = std::variant<Ping, Pong, WorkRequest, WorkCancel, WorkPiece, WorkEnd, TokenRequest, TokenGrant, TokenRefund,
+                   ConfigRequest, ConfigResponse, ClusterStateRequest, ClusterStateResponse, RelayRequest,
+                   RelayResponse, HostHeartbeat, ResidencyReportBatch, AdapterRequest, AdapterUseBatch, PromptReport,
+                   VersionProof, ColdReport, ColdPermitRequest, ColdPermit, EvacuationReport>;
 
 }
--- a/serving/dispatcher.cpp
+++ b/serving/dispatcher.cpp
@@ -142,7 +142,7 @@
         if (!placement.waits) {
             refuse(active,
                    {RefusalCode::Overloaded, RunState::NotRun, placement.retryAfter,
-                    "all replicas of the pool have asked for a pause"});
+                    "all replicas of the pool are paused or cold"});
         }
         return placement.waits ? Placement::Waits : Placement::Ended;
     }
--- a/serving/interfaces/backend.h
+++ b/serving/interfaces/backend.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -45,6 +46,8 @@
     DomainId domain;
     int64_t slots = 1; ///< Requests that it executes concurrently.
     bool isLeaving = false; ///< Whether it is shutting down and takes no new requests.
+    /** How long it is still cold, as of its entry; absent if the entry doesn't say. */
+    std::optional<Millis> coldLeft;
     EngineResidency residency;
 };
 
--- a/serving/interfaces/servingconfig.h
+++ b/serving/interfaces/servingconfig.h
@@ -71,6 +71,8 @@
     PoolId id;
     int64_t maxConnections = 0; ///< Connections to one replica, over all hosts.
     std::optional<EngineSpec> engine; ///< Absent for a plain service.
+    Millis coldStart {0}; ///< How long a replica is cold after its start.
+    double coldPerSecond = 0; ///< Requests per second that a cold replica tolerates; 0 for no limit.
 };
 
 /** A customer with its API keys and its quota. */
--- a/serving/interfaces/statestore.h
+++ b/serving/interfaces/statestore.h
@@ -18,6 +18,7 @@
     Backends,
     AdapterVersions,
     Coordination, ///< Records of the hosts themselves: membership, and the owner of each replica.
+    Evacuations, ///< A record for each failure domain whose replicas get nothing new, named after it.
 };
 
 /** One record of the store. */
--- a/serving/loadcoordinator.cpp
+++ b/serving/loadcoordinator.cpp
@@ -133,6 +133,17 @@
             && now - since->second > ownershipLease + m_context.settings.orderLease + takeoverMargin);
 }
 
+const OwnerEntry *LoadCoordinator::ownerOf(const ReplicaId &replica) const
+{
+    return m_owners.find(replica);
+}
+
+bool LoadCoordinator::hasOwnedFor(const ReplicaId &replica, Millis duration) const
+{
+    const auto since = m_ownedSince.find(replica);
+    return mayOrder(replica) && since != m_ownedSince.end() && m_context.clock.now() - since->second >= duration;
+}
+
 bool LoadCoordinator::canOrder(const ReplicaId &replica) const
 {
     const OwnerEntry *entry = m_owners.find(replica);
@@ -207,7 +218,7 @@
     const OwnerEntry *entry = m_owners.find(replica);
     const BackendState *state = m_context.backends.find(replica);
     if (state == nullptr || !mayOrder(replica) || !state->isUsable() || now < state->avoidUntil
-        || state->pause.isActive(now)) {
+        || m_context.backends.isEvacuated(state->info.domain) || state->pause.isActive(now)) {
         return;
     }
     const EngineSpec *engine = m_context.admission.engineOf(state->info.pool);
@@ -335,12 +346,17 @@
 }
 
 void LoadCoordinator::sendAdapterRequests(Dispatcher &dispatcher)
+{
+    requestAdapters(dispatcher.takeAdapterRequests());
+}
+
+void LoadCoordinator::requestAdapters(const std::vector<AdapterRequest> &requests)
 {
     const Millis now = m_context.clock.now();
     for (auto entry = m_requestedAt.begin(); entry != m_requestedAt.end();) {
         entry = now - entry->second > requestRepeatInterval ? m_requestedAt.erase(entry) : std::next(entry);
     }
-    for (const AdapterRequest &request : dispatcher.takeAdapterRequests()) {
+    for (const AdapterRequest &request : requests) {
         const OwnerEntry *entry = m_owners.find(request.replica);
         if (entry == nullptr || !m_requestedAt.emplace(std::make_pair(request.replica, request.weights), now).second) {
             continue;
@@ -387,8 +403,9 @@
 {
     std::vector<DomainMember> replicas;
     for (const auto &[id, pool] : m_context.admission.config()->pools) {
-        if (pool.engine) {
-            for (const BackendState *state : m_context.backends.usable(id)) {
+        // The owner of a plain service's replica issues the permits for it while it is cold.
+        if (pool.engine || (m_context.settings.coldOvershoot > 0 && pool.coldPerSecond > 0)) {
+            for (const BackendState *state : m_context.backends.inService(id)) {
                 replicas.push_back({state->info.id.text(), state->info.domain});
             }
         }
--- a/serving/loadcoordinator.h
+++ b/serving/loadcoordinator.h
@@ -103,11 +103,17 @@
 
     /** Sends the owners the requests for adapters that this host's requests wait for. */
     void sendAdapterRequests(Dispatcher &dispatcher);
+    /** Sends the owners requests for adapters, each at most once in a short time. */
+    void requestAdapters(const std::vector<AdapterRequest> &requests);
     /** Reports to the owners which adapters this host's requests use. */
     void sendUseReports(const Dispatcher &dispatcher);
     /** Assigns owners to replicas without a live one and writes the table. Only one host at a time should call it. */
     void assignOwners();
 
+    /** @return the replica's owner by this host's copy of the table; nullptr if it has none. */
+    const OwnerEntry *ownerOf(const ReplicaId &replica) const;
+    /** @return whether this host is the only possible owner of the replica and has known for @p duration that it is. */
+    bool hasOwnedFor(const ReplicaId &replica, Millis duration) const;
     /** @return whether the replica has a live owner that may order its loads. */
     bool canOrder(const ReplicaId &replica) const;
     /** @return the revision of this host's copy of the owner table. */
--- a/serving/membership/recordmirror.cpp
+++ b/serving/membership/recordmirror.cpp
@@ -34,6 +34,8 @@
         return "backends";
     case Collection::AdapterVersions:
         return "adapter-versions";
+    case Collection::Evacuations:
+        return "evacuations";
     case Collection::Coordination:
         break;
     }
--- a/serving/placement/enginechooser.cpp
+++ b/serving/placement/enginechooser.cpp
@@ -7,6 +7,7 @@
 #include "serving/replicas/adapterversions.h"
 #include "serving/replicas/backendtable.h"
 #include "serving/replicas/residencymap.h"
+#include "serving/replicas/startlimit.h"
 
 #include <algorithm>
 #include <utility>
@@ -91,6 +92,9 @@
 {
     active.prefillAhead = prefillAhead(backend, active);
     m_urgencyMix.add(active.priority, static_cast<double>(active.request.promptTokens.value));
+    if (StartLimit *limit = m_backends.startLimit()) {
+        limit->onSending(backend, active.sentAt);
+    }
 }
 
 void EngineChooser::onFirstEvent(const ActiveRequest &active, Millis now)
@@ -134,8 +138,11 @@
     const Holders holders = evaluateHolders(active, usable, engine, now);
     ReplicaChoice choice {holders.best, nullptr, hasCandidates, pausedUntil, holders.availability};
     if (!holders.availability.hasPendingLoad && holders.leastLoad >= spreadThreshold) {
-        choice.loadTarget = chooseLoadTarget(active, usable, engine, holders.best == nullptr, now);
+        const bool isUrgent = holders.best == nullptr && holders.blocked.isEmpty();
+        choice.loadTarget = chooseLoadTarget(active, usable, engine, isUrgent, now);
     }
+    const double load = holders.best == nullptr ? 0 : loadOf(*holders.best, active, engine, now);
+    holders.blocked.request(m_backends.startLimit(), active.request.exchange, choice, load, now);
     return choice;
 }
 
@@ -145,7 +152,7 @@
 {
     const int64_t required = m_versions.minimumVersion(active.request.weights, now);
     const std::map<ReplicaId, AdapterResidency> &residences = m_residency.holders(active.request.weights);
-    Holders holders {nullptr, noHolderLoad, {}};
+    Holders holders {nullptr, noHolderLoad, {}, {}};
     std::vector<Candidate> candidates;
     for (BackendState *state : usable) {
         const auto residence = residences.find(state->info.id);
@@ -160,6 +167,12 @@
         }
         ++holders.availability.holders;
         const double load = loadOf(*state, active, engine, now);
+        if (isBlocked(m_backends.startLimit(), *state, now)) {
+            if (hasRoom(*state, active, engine, now) && active.excluded.count(state->info.id) == 0) {
+                holders.blocked.offer(*state, penalties.score(load, *state, m_domain, now));
+            }
+            continue;
+        }
         if (now >= state->avoidUntil) {
             holders.leastLoad = std::min(holders.leastLoad, load);
         }
@@ -172,6 +185,12 @@
     return holders;
 }
 
+const BackendState *EngineChooser::preferredReplica(const std::string &weights, const PoolId &pool) const
+{
+    const std::vector<BackendState *> preferred = preferredReplicas(weights, m_backends.usable(pool));
+    return preferred.empty() ? nullptr : preferred.front();
+}
+
 BackendState *EngineChooser::chooseCandidate(const std::vector<Candidate> &candidates) const
 {
     int64_t running = 0;
@@ -215,7 +234,8 @@
     for (BackendState *state : preferred) {
         const AdapterResidency *residence = m_residency.find(state->info.id, weights);
         const bool isHolder = residence != nullptr && (residence->version >= required || residence->readyAt > now);
-        if (!isHolder && loadOf(*state, active, engine, now) < spreadThreshold && now >= state->avoidUntil) {
+        if (!isHolder && !isBlocked(m_backends.startLimit(), *state, now)
+            && loadOf(*state, active, engine, now) < spreadThreshold && now >= state->avoidUntil) {
             return state;
         }
         if (residence == nullptr && firstWithout == nullptr) {
--- a/serving/placement/enginechooser.h
+++ b/serving/placement/enginechooser.h
@@ -60,6 +60,8 @@
      * @return the replica to send to and the replica to load the adapter on; either may be nullptr.
      */
     ReplicaChoice choose(const ActiveRequest &active, const EngineSpec &engine, Millis now);
+    /** @return where an adapter is loaded first, or nullptr. */
+    const BackendState *preferredReplica(const std::string &weights, const PoolId &pool) const;
     /** A request is about to be sent to @p backend: records the prompt tokens that are ahead of its first event. */
     void onSending(ActiveRequest &active, const BackendState &backend);
     /** The first event of a request's response arrived. */
@@ -76,6 +78,7 @@
         BackendState *best = nullptr; ///< Replica to send to; nullptr if none has capacity.
         double leastLoad; ///< Of the replicas that aren't temporarily avoided.
         AdapterAvailability availability;
+        BlockedReplica blocked; ///< Best of those with room where no request may be started now.
     };
 
     /** A replica that a request could be sent to. */
--- a/serving/placement/servicechooser.cpp
+++ b/serving/placement/servicechooser.cpp
@@ -36,17 +36,23 @@
     choice.hasCandidates = !usable.empty();
     choice.pausedUntil = removePaused(usable, now);
     double best = 0;
+    BlockedReplica blocked;
     for (BackendState *state : usable) {
         const double load = state->slotLoad();
         if (load >= 1 + maxQueuePerSlot || active.excluded.count(state->info.id) > 0) {
             continue;
         }
         const double value = penalties.score(load, *state, m_domain, now);
+        if (isBlocked(m_backends.startLimit(), *state, now)) {
+            blocked.offer(*state, value);
+            continue;
+        }
         if (choice.backend == nullptr || value < best) {
             choice.backend = state;
             best = value;
         }
     }
+    blocked.request(m_backends.startLimit(), active.request.exchange, choice, best, now);
     return choice;
 }
 
--- a/serving/replicas/backendtable.cpp
+++ b/serving/replicas/backendtable.cpp
@@ -138,6 +138,15 @@
 }
 
 std::vector<BackendState *> BackendTable::usable(const PoolId &pool) const
+{
+    std::vector<BackendState *> found = inService(pool);
+    std::erase_if(found, [this](const BackendState *state) {
+        return isEvacuated(state->info.domain);
+    });
+    return found;
+}
+
+std::vector<BackendState *> BackendTable::inService(const PoolId &pool) const
 {
     std::vector<BackendState *> found;
     for (const auto &[id, state] : m_backends) {
--- a/serving/replicas/backendtable.h
+++ b/serving/replicas/backendtable.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <unordered_map>
 #include <vector>
@@ -18,6 +19,8 @@
 namespace vanillaspar::serving
 {
 
+class StartLimit;
+
 /** A backend server with the load and the failures that this host knows of. */
 struct BackendState
 {
@@ -89,6 +92,32 @@
     BackendState *find(const ReplicaId &id) const;
     /** @return the servers of a pool that may get new requests. */
     std::vector<BackendState *> usable(const PoolId &pool) const;
+    /** @return the same, with those of evacuated failure domains. */
+    std::vector<BackendState *> inService(const PoolId &pool) const;
+    /** Sets the failure domains whose servers get nothing new; std::nullopt while that isn't known of any domain. */
+    void setEvacuated(std::optional<std::set<DomainId>> domains)
+    {
+        m_evacuated = std::move(domains);
+    }
+    /** @return whether servers of a failure domain get nothing new. */
+    bool isEvacuated(const DomainId &domain) const
+    {
+        return !m_evacuated || m_evacuated->count(domain) > 0;
+    }
+    /** Sets what limits the requests that this host starts at a server; it must outlive the table's users. */
+    void setStartLimit(StartLimit *limit)
+    {
+        m_startLimit = limit;
+    }
+    /** @return what limits the requests that this host starts at a server; nullptr if nothing does. */
+    StartLimit *startLimit() const
+    {
+        return m_startLimit;
+    }
+    const std::map<ReplicaId, std::unique_ptr<BackendState>> &all() const
+    {
+        return m_backends;
+    }
 
     /** Replaces the use that a host last reported. */
     void setPeerUse(const HostId &host, const std::vector<ReplicaUse> &uses);
@@ -156,6 +185,8 @@
     std::unordered_map<uint32_t, BackendState *> m_byShortId;
     std::map<HostId, std::vector<ReplicaUse>> m_peerUses;
     Millis m_reportAge {0};
+    std::optional<std::set<DomainId>> m_evacuated {std::in_place};
+    StartLimit *m_startLimit = nullptr;
     Loads m_peerLoads; ///< Sums of m_peerUses, also of servers that aren't known yet.
 };
 
--- a/serving/replicas/replicachoice.h
+++ b/serving/replicas/replicachoice.h
@@ -3,12 +3,14 @@
 #include "core/ids.h"
 #include "core/units.h"
 
+#include <cstdint>
 #include <optional>
 #include <vector>
 
 namespace vanillaspar::serving
 {
 
+class StartLimit;
 struct BackendState;
 
 /** Where an adapter is available, as known by this host. */
@@ -25,7 +27,8 @@
     BackendState *backend = nullptr; ///< Replica to send to; nullptr if none that could execute it has capacity.
     BackendState *loadTarget = nullptr; ///< Replica to load its adapter on; nullptr if no load is needed.
     bool hasCandidates = true; ///< Whether the pool has any replica that may take the request.
-    /** When the first pause of a candidate ends, if all of them are paused. */
+    /** When the first pause of a candidate ends, if all of them are paused; or when a cold one may get a request, if no
+     * other replica can take it or load its adapter. */
     std::optional<Millis> pausedUntil;
     AdapterAvailability availability;
 };
@@ -37,6 +40,35 @@
  */
 std::optional<Millis> removePaused(std::vector<BackendState *> &replicas, Millis now);
 
+/** @return whether @p limit, which may be nullptr, allows no request to be started at the replica now. */
+bool isBlocked(const StartLimit *limit, const BackendState &state, Millis now);
+
+/** The replica with the lowest score among those that could take a request if its start there weren't blocked. */
+class BlockedReplica
+{
+public:
+    /** A replica with room is blocked. @param score its load with penalties. */
+    void offer(const BackendState &state, double score);
+    /**
+     * Requests a start at the best blocked replica if it is much better than the one that was chosen, or if none was.
+     *
+     * @param limit that blocks it.
+     * @param exchange identifies the request.
+     * @param choice states how long the request has to wait, if nothing else can be done for it.
+     * @param score of the chosen replica, if there is one.
+     * @param now current time.
+     */
+    void request(StartLimit *limit, uint64_t exchange, ReplicaChoice &choice, double score, Millis now) const;
+    bool isEmpty() const
+    {
+        return m_state == nullptr;
+    }
+
+private:
+    const BackendState *m_state = nullptr;
+    double m_score = 0;
+};
+
 /** Penalties that are added to a replica's load when replicas are compared; 1 is the load of a full replica. */
 struct ReplicaPenalties
 {
--- a/serving/servingnode.cpp
+++ b/serving/servingnode.cpp
@@ -74,6 +74,11 @@
             node.m_loads.onUseReport(from, report);
         }
     }
+    template<LimitMessage Limit>
+    void operator()(const Limit &message) const
+    {
+        node.m_limits.onMessage(from, message);
+    }
     template<class Other>
     void operator()(const Other & /*message*/) const
     {
@@ -123,6 +128,8 @@
                  [this] {
                      m_heartbeats.emptyTokenBuckets(); // the others have used this host's share meanwhile
                  })
+    , m_limits({m_settings, m_ports.clock, m_ports.store, m_ports.peers, m_ports.log, m_random, m_admission, m_members,
+                m_backends, m_residency, m_chooser, m_backendRecords, m_loads, m_dispatcher})
     , m_startedAt(m_ports.clock.now())
 {
     setSettings(m_settings);
@@ -170,7 +177,7 @@
         if (record.isDeleted) {
             const BackendState *known = m_backends.find(id);
             if (now < expiryGraceEnd() && known != nullptr && known->isUsable()) {
-                m_expiredEntries.emplace(id, expiryGraceEnd());
+                m_expiredEntries.add(id, expiryGraceEnd());
             } else {
                 m_backends.remove(id, now);
                 m_ports.log.record(EventCode::ReplicaLeaving, id.text(), "its entry was removed");
@@ -179,7 +186,7 @@
         }
         try {
             Backend backend = m_ports.decoder.backend(record);
-            m_expiredEntries.erase(id);
+            m_expiredEntries.remove(id);
             const BackendState *known = m_backends.find(id);
             const bool isNew = known == nullptr || known->info.residency.incarnation != backend.residency.incarnation
                 || (!known->isUsable() && !known->hasSaidLeaving && !backend.isLeaving);
@@ -189,6 +196,7 @@
             if (backend.isLeaving && (known == nullptr || !known->info.isLeaving)) {
                 m_ports.log.record(EventCode::ReplicaLeaving, id.text(), "its entry is marked as leaving");
             }
+            m_limits.onBackend(backend);
             m_residency.onDiscovered(backend, now);
             if (m_backends.upsert(std::move(backend), now)) {
                 m_ports.log.record(EventCode::ReplicaRestarted, id.text(), "a new incarnation under the same id");
@@ -234,14 +242,9 @@
 void ServingNode::removeExpiredEntries()
 {
     const Millis now = m_ports.clock.now();
-    for (auto entry = m_expiredEntries.begin(); entry != m_expiredEntries.end();) {
-        if (now >= entry->second) {
-            m_backends.remove(entry->first, now);
-            m_ports.log.record(EventCode::ReplicaLeaving, entry->first.text(), "its entry expired in a store outage");
-            entry = m_expiredEntries.erase(entry);
-        } else {
-            ++entry;
-        }
+    for (const ReplicaId &replica : m_expiredEntries.takeDue(now)) {
+        m_backends.remove(replica, now);
+        m_ports.log.record(EventCode::ReplicaLeaving, replica.text(), "its entry expired in a store outage");
     }
     for (const ReplicaId &replica : m_backends.purgeRemoved(now)) {
         m_residency.remove(replica);
@@ -309,7 +312,7 @@
     m_wasTrusted = isTrusted;
     const PollIntervals &intervals = pollIntervals();
     m_configuration.setIntervals({intervals.configWatchTimeout, configPollInterval});
-    m_backendRecords.setIntervals({intervals.watchTimeout, intervals.backendPollInterval});
+    m_backendRecords.setIntervals(m_limits.backendIntervals(intervals));
     m_versionRecords.setIntervals(intervals, m_members.isLeader(now));
     m_coordination.setIntervals({intervals.watchTimeout, intervals.coordinationPollInterval});
     if (now - m_configFreshAsOf > intervals.configRefreshAge && m_configuration.isLoaded()) {
@@ -327,6 +330,7 @@
     updateConfigTrust();
     updateStoreAvailability();
     removeExpiredEntries();
+    m_limits.tick();
     m_residency.tick(now);
     m_registry.tick();
     if (now - m_heartbeatSentAt >= heartbeatInterval) {
@@ -454,7 +458,7 @@
 {
     const Millis now = m_ports.clock.now();
     if (m_drainStartedAt.value >= 0 || m_admission.config() == nullptr || !m_backendRecords.isLoaded()
-        || !m_coordination.isLoaded()) {
+        || !m_coordination.isLoaded() || !m_limits.isReady()) {
         return false;
     }
     if (reachesStore()) {
@@ -472,17 +476,20 @@
     const auto ageOf = [now](Millis freshAsOf) {
         return freshAsOf.value < 0 ? -1 : toSeconds(now - freshAsOf);
     };
-    return {{"vanillaspar_open_requests", static_cast<double>(m_dispatcher.openCount())},
-            {"vanillaspar_waiting_requests", static_cast<double>(m_dispatcher.waitingCount())},
-            {"vanillaspar_configuration_revision", static_cast<double>(m_configRevision)},
-            {"vanillaspar_configuration_proof_age_seconds", ageOf(m_configFreshAsOf)},
-            {"vanillaspar_owners_proof_age_seconds", ageOf(m_loads.freshAsOf())},
-            {"vanillaspar_adapter_loads", static_cast<double>(m_loads.adapterLoads())},
-            {"vanillaspar_model_loads", static_cast<double>(m_loads.modelLoads())},
-            {"vanillaspar_listed_hosts", static_cast<double>(callerAddresses(m_settings.domain).size())},
-            {"vanillaspar_suspect_prompt_parts", static_cast<double>(m_prompts.suspectCount())},
-            {"vanillaspar_blocked_prompt_parts", static_cast<double>(m_prompts.blocked().parts().size())},
-            {"vanillaspar_ready", isReady() ? 1.0 : 0.0}};
+    std::vector<std::pair<std::string, double>> gauges {
+        {"vanillaspar_open_requests", static_cast<double>(m_dispatcher.openCount())},
+        {"vanillaspar_waiting_requests", static_cast<double>(m_dispatcher.waitingCount())},
+        {"vanillaspar_configuration_revision", static_cast<double>(m_configRevision)},
+        {"vanillaspar_configuration_proof_age_seconds", ageOf(m_configFreshAsOf)},
+        {"vanillaspar_owners_proof_age_seconds", ageOf(m_loads.freshAsOf())},
+        {"vanillaspar_adapter_loads", static_cast<double>(m_loads.adapterLoads())},
+        {"vanillaspar_model_loads", static_cast<double>(m_loads.modelLoads())},
+        {"vanillaspar_listed_hosts", static_cast<double>(callerAddresses(m_settings.domain).size())},
+        {"vanillaspar_suspect_prompt_parts", static_cast<double>(m_prompts.suspectCount())},
+        {"vanillaspar_blocked_prompt_parts", static_cast<double>(m_prompts.blocked().parts().size())},
+        {"vanillaspar_ready", isReady() ? 1.0 : 0.0}};
+    m_limits.addGauges(gauges);
+    return gauges;
 }
 
 std::vector<std::string> ServingNode::callerAddresses(const DomainId &domain) const
--- a/serving/servingnode.h
+++ b/serving/servingnode.h
@@ -19,13 +19,14 @@
 #include "serving/membership/versionrecords.h"
 #include "serving/placement/enginechooser.h"
 #include "serving/queueing/requestlog.h"
+#include "serving/replicalimits.h"
 #include "serving/replicas/adapterversions.h"
 #include "serving/replicas/backendtable.h"
+#include "serving/replicas/expiredentries.h"
 #include "serving/replicas/replicanotices.h"
 #include "serving/replicas/residencymap.h"
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -151,8 +152,9 @@
     HeartbeatExchange m_heartbeats;
     PromptRecords m_promptRecords;
     HostRegistry m_registry;
+    ReplicaLimits m_limits;
     /** Replicas whose entries were removed right after a store outage, and until when these may be written again. */
-    std::map<ReplicaId, Millis> m_expiredEntries;
+    ExpiredEntries m_expiredEntries;
     int64_t m_configRevision = 0;
     int64_t m_backendsRevision = 0; ///< Revision of the newest entry of a new or restarted replica.
     Millis m_configFreshAsOf {-1};
