Test cold replicas and evacuations in virtual time; describe both

Reports go only to hosts whose record is still there: the targets of the last round of heartbeats may include a host whose record was removed since, which ended the process (map::at) in the partition test at 75 hosts.

--- a/serving/replicalimits.cpp
+++ b/serving/replicalimits.cpp
@@ -188,11 +188,12 @@
     }
     ColdReport report {0, {}, m_coldFreshAsOf.value < 0 ? -1 : (now - m_coldFreshAsOf).value, m_cold.report(now)};
     for (const HostId &host : members.heartbeatTargets(now)) {
-        const FleetMember &member = members.peers().at(host);
-        if (member.heartbeat.sequence > 0) {
-            report.echoedSequence = member.heartbeat.sequence;
-            report.echoedIncarnation = member.heartbeat.incarnation;
-            m_context.peers.send(member.peerAddress, report);
+        // The targets are those of the last round of heartbeats; a record may have been removed since.
+        const auto member = members.peers().find(host);
+        if (member != members.peers().end() && member->second.heartbeat.sequence > 0) {
+            report.echoedSequence = member->second.heartbeat.sequence;
+            report.echoedIncarnation = member->second.heartbeat.incarnation;
+            m_context.peers.send(member->second.peerAddress, report);
         }
     }
 }
@@ -254,7 +255,9 @@
     const Millis now = m_context.clock.now();
     if (const std::optional<EvacuationReport> report = m_evacuations.report()) {
         m_evacuationsSentAt = now;
-        m_context.peers.sendAll(m_context.members.heartbeatAddresses(now), *report);
+        for (const HostId &host : m_context.members.heartbeatTargets(now)) {
+            sendTo(host, *report);
+        }
     }
 }
 
--- a/tests/fakes/servingfleet.cpp
+++ b/tests/fakes/servingfleet.cpp
@@ -5,6 +5,7 @@
 #include "net/httpupstream.h"
 #include "tests/fakes/fleetconfig.h"
 #include "tests/fakes/servingfleetcallers.h"
+#include "tests/fakes/servingfleetparts.h"
 
 #include <algorithm>
 
@@ -29,31 +30,6 @@
 
 }
 
-/** A request at an engine. */
-struct ServingFleet::Run
-{
-    size_t host = 0;
-    int64_t incarnation = 0; ///< Of the host's process.
-    uint64_t attempt = 0;
-    uint64_t exchange = 0;
-    bool isCrashing = false;
-    Millis nextAt; ///< When its next event, or the crash, is due.
-    int64_t events = -1; ///< Sent so far; negative before it begins.
-};
-
-/** An engine at an address, in one incarnation after the other. */
-struct ServingFleet::Engine
-{
-    std::string address;
-    ReplicaId id;
-    Backend backend;
-    bool isRunning = false;
-    Millis startsAt; ///< When it comes back.
-    Millis entryEndsAt {-1}; ///< When the entry of its last incarnation is removed; negative if it was.
-    Millis crashAt {-1}; ///< When an answer that it has begun ends it; negative if none does.
-    std::vector<Run> runs;
-};
-
 /** Sends the attempts of a host to the engines. */
 class ServingFleet::Attempts : public AttemptSender
 {
@@ -156,7 +132,7 @@
 ServingFleet::ServingFleet(const FleetSetup &setup, uint64_t seed) : m_setup(setup), m_random(seed), m_store(m_clock)
 {
     m_clock.setNow(Millis(1000000));
-    m_decoder.configs.push_back(std::make_shared<ServingConfig>(fleetConfig()));
+    m_decoder.configs.push_back(std::make_shared<ServingConfig>(fleetConfig(m_setup.coldPerSecond)));
     m_store.put(Collection::Configuration, "main", 0);
     for (size_t i = 0; i < m_setup.replicas; ++i) {
         m_engines.push_back(std::make_unique<Engine>());
@@ -166,11 +142,12 @@
     for (size_t i = 0; i < m_setup.hosts; ++i) {
         m_hosts.push_back(std::make_unique<Host>());
         ServingSettings &settings = m_hosts[i]->settings;
-        settings.host = HostId("h" + std::to_string(100 + i));
+        settings.host = hostId(i);
         settings.domain = DomainId(std::string(1, static_cast<char>('a' + i % 3)));
         settings.peerAddress = "10.0.0." + std::to_string(i + 1) + ":7600";
         settings.callerAddress = "10.0.0." + std::to_string(i + 1) + ":8000";
         settings.capacity = i < 6 ? 1 : 0.2;
+        applyLimits(settings);
         start(i);
     }
     const double soundRate = std::exchange(m_setup.soundRate, 0);
@@ -258,6 +235,7 @@
     engine.backend = makeBackend(engine.id.text(), "engines", {{"m/a1", 1}});
     engine.backend.address = engine.address;
     engine.backend.slots = fleetEngineSlots;
+    engine.backend.domain = domainOf(number);
     engine.backend.residency.incarnation = m_clock.now().value;
     m_decoder.backends.push_back(engine.backend);
     m_store.put(Collection::Backends, engine.id.text(), m_decoder.backends.size() - 1);
@@ -326,6 +304,7 @@
     if (isCrashing) {
         m_crashingArrivals.emplace_back(m_clock.now(), host.disturbedAt);
     }
+    m_arrivals.emplace_back(m_clock.now(), static_cast<size_t>(engine - m_engines.begin()));
     const Millis beginsAt = m_clock.now() + wayTime + Millis(20 + static_cast<int64_t>(m_random.below(60)));
     (*engine)->runs.push_back({number, host.incarnation, attempt, request.exchange, isCrashing, beginsAt, -1});
 }
--- a/tests/fakes/servingfleet.h
+++ b/tests/fakes/servingfleet.h
@@ -29,6 +29,8 @@
     std::string target = "/s/"; ///< Path of the route that is asked for; "/r/" may be resumed.
     double crashingLoadRate
         = 0; ///< Requests a second for an adapter that ends every engine which is ordered to load it.
+    double coldPerSecond = 0; ///< Cold rate of the engine pool; above 0 the hosts limit cold engines.
+    Millis evacuationLimit {0}; ///< Above 0 the hosts follow evacuations.
     bool hasHead = true; ///< Whether a replica sends the start of an answer before it crashes on it.
 };
 
@@ -63,11 +65,17 @@
     void setFrozen(size_t host, bool isFrozen);
     /** Cuts all hosts off from the store, or ends that. */
     void setStoreDown(bool isDown);
+    /** An engine turns cold for @p duration. @param isWritten whether its entry in the store says so. */
+    void setCold(size_t engine, Millis duration, bool isWritten = true);
     /** Ends an engine for a reason of its own. */
     void killEngine(size_t engine);
     /** Loses the connections of one host to all engines. */
     void resetConnections(size_t host);
 
+    static HostId hostId(size_t host)
+    {
+        return HostId("h" + std::to_string(100 + host));
+    }
     static const PromptPartId &crashingPart();
     FleetStore &store()
     {
@@ -111,6 +119,12 @@
     {
         return m_log.lines;
     }
+    /** @return the most requests that reached an engine within one second of a time span. */
+    int64_t mostArrivals(size_t engine, Millis from, Millis to) const;
+    /** @return the number of requests that reached the engines of a failure domain within a time span. */
+    int64_t arrivalsIn(const DomainId &domain, Millis from, Millis to) const;
+    /** @return the owner of an engine, by the table in the store; the number of hosts if it has none. */
+    size_t ownerOf(size_t engine) const;
     /** @return the largest datagram that a host has sent, in bytes. */
     size_t largestDatagram() const
     {
@@ -146,6 +160,10 @@
     class Orders;
 
     void start(size_t host);
+    /** Sets the limits of the fleet's setup in a host's settings. */
+    void applyLimits(ServingSettings &settings) const;
+    /** @return an engine's failure domain: the first one, or one of three in a fleet with limits. */
+    DomainId domainOf(size_t engine) const;
     void startEngine(size_t engine);
     void endEngine(size_t engine, bool isCrash);
     void sendRequests();
@@ -174,6 +192,7 @@
     std::vector<Millis> m_loadCrashes;
     /** When requests with the crashing part reached an engine, and when their host was last disturbed. */
     std::vector<std::pair<Millis, Millis>> m_crashingArrivals;
+    std::vector<std::pair<Millis, size_t>> m_arrivals; ///< At engines that were running, by number.
     uint64_t m_nextExchange = 1;
     uint64_t m_nextEngine = 1;
     double m_dueSound = 0;
--- a/tests/fakes/servingfleetcounts.cpp
+++ b/tests/fakes/servingfleetcounts.cpp
@@ -1,4 +1,7 @@
+#include "serving/loading/ownertable.h"
+#include "tests/fakes/fleetconfig.h"
 #include "tests/fakes/servingfleet.h"
+#include "tests/fakes/servingfleetparts.h"
 
 #include <algorithm>
 
@@ -83,4 +86,66 @@
     });
 }
 
+void ServingFleet::applyLimits(ServingSettings &settings) const
+{
+    settings.coldOvershoot = m_setup.coldPerSecond > 0 ? fleetColdOvershoot : 0;
+    settings.coldSlack = fleetColdSlack;
+    settings.evacuationLimit = m_setup.evacuationLimit;
+}
+
+DomainId ServingFleet::domainOf(size_t engine) const
+{
+    const bool isSpread = m_setup.coldPerSecond > 0 || m_setup.evacuationLimit.value > 0;
+    return DomainId(std::string(1, static_cast<char>('a' + (isSpread ? engine % 3 : 0))));
+}
+
+void ServingFleet::setCold(size_t number, Millis duration, bool isWritten)
+{
+    Engine &engine = *m_engines[number];
+    engine.backend.coldLeft = duration;
+    if (isWritten) {
+        m_decoder.backends.push_back(engine.backend);
+        m_store.put(Collection::Backends, engine.id.text(), m_decoder.backends.size() - 1);
+    }
+}
+
+int64_t ServingFleet::mostArrivals(size_t engine, Millis from, Millis to) const
+{
+    std::deque<Millis> window;
+    size_t most = 0;
+    for (const auto &[at, number] : m_arrivals) {
+        if (number != engine || at < from || at >= to) {
+            continue;
+        }
+        window.push_back(at);
+        while (at - window.front() >= Millis(1000)) {
+            window.pop_front();
+        }
+        most = std::max(most, window.size());
+    }
+    return static_cast<int64_t>(most);
+}
+
+int64_t ServingFleet::arrivalsIn(const DomainId &domain, Millis from, Millis to) const
+{
+    return std::count_if(m_arrivals.begin(), m_arrivals.end(), [&](const auto &arrival) {
+        return arrival.first >= from && arrival.first < to && domainOf(arrival.second) == domain;
+    });
+}
+
+size_t ServingFleet::ownerOf(size_t engine) const
+{
+    const StoredRecord *owners = m_store.find(Collection::Coordination, "owners");
+    if (owners == nullptr) {
+        return m_hosts.size();
+    }
+    const OwnerTable table = OwnerTable::fromJson(owners->content);
+    const OwnerEntry *entry = table.find(m_engines[engine]->id);
+    size_t host = 0;
+    while (host < m_hosts.size() && (entry == nullptr || entry->host != hostId(host))) {
+        ++host;
+    }
+    return host;
+}
+
 }
