--- a/tests/platform/recorddecodertest.cpp
+++ b/tests/platform/recorddecodertest.cpp
@@ -85,7 +85,7 @@
     EXPECT_EQ(config->pools.at(PoolId("desk")).coldPerSecond, 0);
     Json entry = Json::parse(R"({"service":"s","address":"1.1.1.1:1","zone":"z","slots":1,"state":"ready"})");
     EXPECT_FALSE(decoder.backend({"i-1", 3, entry, false}).coldLeft);
-    entry["cold_left_ms"] = 700;
+    entry["cold_left_ms"] = 700U;
     EXPECT_EQ(decoder.backend({"i-1", 3, entry, false}).coldLeft, Millis(700));
     entry["cold_left_ms"] = -1;
     EXPECT_THROW(decoder.backend({"i-1", 3, entry, false}), DecodeError);
