--- a/cluster/message.h
+++ b/cluster/message.h
@@ -4,6 +4,7 @@
 #include "cluster/messages/fetch.h"
 #include "cluster/messages/fleet.h"
 #include "cluster/messages/latency.h"
+#include "cluster/messages/limits.h"
 #include "cluster/messages/ping.h"
 #include "cluster/messages/pong.h"
 #include "cluster/messages/prompts.h"
@@ -24,6 +25,7 @@
 using Message = std::variant<Ping, Pong, WorkRequest, WorkCancel, WorkPiece, WorkEnd, TokenRequest, TokenGrant,
                              TokenRefund, ConfigRequest, ConfigResponse, ClusterStateRequest, ClusterStateResponse,
                              RelayRequest, RelayResponse, HostHeartbeat, ResidencyReportBatch, AdapterRequest,
-                             AdapterUseBatch, PromptReport, VersionProof, StoreProof, LatencyReport, DemandReport>;
+                             AdapterUseBatch, PromptReport, VersionProof, StoreProof, LatencyReport, DemandReport,
+                             ColdReport, ColdPermitRequest, ColdPermit, EvacuationReport>;
 
 }
--- a/serving/placement/servicechooser.cpp
+++ b/serving/placement/servicechooser.cpp
@@ -53,31 +53,29 @@
         m_latencies->update(active.pool, usable, now);
     }
     choice.pausedUntil = removePaused(usable, now);
-    choice.backend = usesLatencies ? chooseByLatency(active, usable, now) : chooseBySlots(active, usable, now);
+    const Selection selection
+        = usesLatencies ? chooseByLatency(active, usable, now) : chooseBySlots(active, usable, now);
+    choice.backend = selection.state;
+    selection.blocked.request(m_backends.startLimit(), active.request.exchange, choice, selection.score, now);
     return choice;
 }
 
-BackendState *ServiceChooser::chooseBySlots(const ActiveRequest &active, const std::vector<BackendState *> &usable,
-                                            Millis now) const
+ServiceChooser::Selection ServiceChooser::chooseBySlots(const ActiveRequest &active,
+                                                        const std::vector<BackendState *> &usable, Millis now) const
 {
-    BackendState *chosen = nullptr;
-    double best = 0;
+    Selection selection;
     for (BackendState *state : usable) {
         const double load = state->slotLoad();
         if (load >= 1 + maxQueuePerSlot || active.excluded.count(state->info.id) > 0) {
             continue;
         }
-        const double value = penalties.score(load, *state, m_domain, now);
-        if (chosen == nullptr || value < best) {
-            chosen = state;
-            best = value;
-        }
+        consider(selection, *state, penalties.score(load, *state, m_domain, now), now);
     }
-    return chosen;
+    return selection;
 }
 
-BackendState *ServiceChooser::chooseByLatency(const ActiveRequest &active, const std::vector<BackendState *> &usable,
-                                              Millis now)
+ServiceChooser::Selection ServiceChooser::chooseByLatency(const ActiveRequest &active,
+                                                          const std::vector<BackendState *> &usable, Millis now)
 {
     const double expected = m_latencies->expected(active) * m_latencies->level(active.pool);
     const double mean = std::max(m_latencies->meanLatency(active.pool), 1.0);
@@ -90,8 +88,7 @@
         capacity += static_cast<double>(state->info.slots) / m_latencies->factor(*state);
     }
     const auto untilLate = static_cast<double>((active.lateAfter - now).value);
-    BackendState *chosen = nullptr;
-    double best = 0;
+    Selection selection;
     for (BackendState *state : usable) {
         if (active.excluded.count(state->info.id) > 0) {
             continue;
@@ -112,12 +109,19 @@
         const double draw = std::log(std::max(-std::log(1 - m_random->unit()), minDraw));
         const double cost = std::log(factor * queue) + loadWeight * (1 - staleness) * running / slots;
         const double score = penalties.score(cost, *state, m_domain, now) + drawWeight * staleness * draw;
-        if (chosen == nullptr || score < best) {
-            chosen = state;
-            best = score;
-        }
+        consider(selection, *state, score, now);
+    }
+    return selection;
+}
+
+void ServiceChooser::consider(Selection &selection, BackendState &state, double score, Millis now) const
+{
+    if (isBlocked(m_backends.startLimit(), state, now)) {
+        selection.blocked.offer(state, score);
+    } else if (selection.state == nullptr || score < selection.score) {
+        selection.state = &state;
+        selection.score = score;
     }
-    return chosen;
 }
 
 }
--- a/serving/placement/servicechooser.h
+++ b/serving/placement/servicechooser.h
@@ -40,8 +40,15 @@
     ReplicaChoice choose(const ActiveRequest &active, Millis now);
 
 private:
-    BackendState *chooseBySlots(const ActiveRequest &active, const std::vector<BackendState *> &usable,
-                                Millis now) const;
+    /** The best replica of a search. */
+    struct Selection
+    {
+        BackendState *state = nullptr; ///< nullptr if none may be chosen.
+        double score = 0; ///< The lower the better.
+        BlockedReplica blocked;
+    };
+
+    Selection chooseBySlots(const ActiveRequest &active, const std::vector<BackendState *> &usable, Millis now) const;
     /**
      * Chooses by expected completion.
      *
@@ -49,7 +56,9 @@
      * the fourth power of the expected time, as far as the reports are old compared with the work; otherwise it is the
      * first.
      */
-    BackendState *chooseByLatency(const ActiveRequest &active, const std::vector<BackendState *> &usable, Millis now);
+    Selection chooseByLatency(const ActiveRequest &active, const std::vector<BackendState *> &usable, Millis now);
+    /** Keeps the replica if it is better than the one selected so far. */
+    void consider(Selection &selection, BackendState &state, double score, Millis now) const;
 
     BackendTable &m_backends;
     DomainId m_domain;
--- a/serving/replicas/backendtable.cpp
+++ b/serving/replicas/backendtable.cpp
@@ -144,6 +144,15 @@
 }
 
 std::vector<BackendState *> BackendTable::usable(const PoolId &pool) const
+{
+    std::vector<BackendState *> found = inService(pool);
+    std::erase_if(found, [this](const BackendState *state) {
+        return isEvacuated(state->info.domain);
+    });
+    return found;
+}
+
+std::vector<BackendState *> BackendTable::inService(const PoolId &pool) const
 {
     std::vector<BackendState *> found;
     for (const auto &[id, state] : m_backends) {
--- a/serving/servingnode.cpp
+++ b/serving/servingnode.cpp
@@ -79,6 +79,11 @@
     {
         node.m_loads.onUseReports(from, batch);
     }
+    template<LimitMessage Limit>
+    void operator()(const Limit &message) const
+    {
+        node.m_limits.onMessage(from, message);
+    }
     template<class Other>
     void operator()(const Other & /*message*/) const
     {
@@ -129,6 +134,8 @@
                  [this] {
                      m_heartbeats.emptyTokenBuckets(); // the others have used this host's share meanwhile
                  })
+    , m_limits({m_settings, m_ports.clock, m_ports.store, m_ports.peers, m_ports.log, m_random, m_admission, m_members,
+                m_backends, m_residency, m_chooser, m_backendRecords, m_loads, m_dispatcher})
     , m_startedAt(m_ports.clock.now())
 {
     m_chooser.setLatencies(m_latencies);
@@ -180,7 +187,7 @@
             const Millis graceEnd = record.isRestored ? StoreAvailability::restoreGraceEnd(now)
                                                       : m_availability.expiryGraceEnd(m_backendRecords.recoveredAt());
             if (now < graceEnd && known != nullptr && known->isUsable()) {
-                m_expiredEntries.emplace(id, graceEnd);
+                m_expiredEntries.add(id, graceEnd);
             } else {
                 m_backends.remove(id, now);
                 m_ports.log.record(EventCode::ReplicaLeaving, id.text(), "its entry was removed");
@@ -189,7 +196,7 @@
         }
         try {
             Backend backend = m_ports.decoder.backend(record);
-            m_expiredEntries.erase(id);
+            m_expiredEntries.remove(id);
             const BackendState *known = m_backends.find(id);
             // An entry that was restored may be from before the replica began to leave.
             backend.isLeaving |= record.position.era > 0 && known != nullptr && known->info.isLeaving
@@ -202,6 +209,7 @@
             if (backend.isLeaving && (known == nullptr || !known->info.isLeaving)) {
                 m_ports.log.record(EventCode::ReplicaLeaving, id.text(), "its entry is marked as leaving");
             }
+            m_limits.onBackend(backend);
             m_residency.onDiscovered(backend, now);
             if (m_backends.upsert(std::move(backend), now)) {
                 m_ports.log.record(EventCode::ReplicaRestarted, id.text(), "a new incarnation under the same id");
@@ -232,14 +240,9 @@
 void ServingNode::removeExpiredEntries()
 {
     const Millis now = m_ports.clock.now();
-    for (auto entry = m_expiredEntries.begin(); entry != m_expiredEntries.end();) {
-        if (now >= entry->second) {
-            m_backends.remove(entry->first, now);
-            m_ports.log.record(EventCode::ReplicaLeaving, entry->first.text(), "its entry expired in a store outage");
-            entry = m_expiredEntries.erase(entry);
-        } else {
-            ++entry;
-        }
+    for (const ReplicaId &replica : m_expiredEntries.takeDue(now)) {
+        m_backends.remove(replica, now);
+        m_ports.log.record(EventCode::ReplicaLeaving, replica.text(), "its entry expired in a store outage");
     }
     for (const ReplicaId &replica : m_backends.purgeRemoved(now)) {
         m_residency.remove(replica);
@@ -324,7 +327,7 @@
     m_wasTrusted = isTrusted;
     const PollIntervals &intervals = pollIntervals();
     m_configuration.setIntervals({intervals.configWatchTimeout, configPollInterval});
-    m_backendRecords.setIntervals({intervals.watchTimeout, intervals.backendPollInterval});
+    m_backendRecords.setIntervals(m_limits.backendIntervals(intervals));
     m_versionRecords.setIntervals(intervals, m_members.isLeader(now));
     m_coordination.setIntervals({intervals.watchTimeout, intervals.coordinationPollInterval});
     if (now - m_config.freshAsOf() > intervals.configRefreshAge && m_configuration.isLoaded()) {
@@ -343,6 +346,7 @@
     updateConfigTrust();
     updateStoreAvailability();
     removeExpiredEntries();
+    m_limits.tick();
     m_residency.tick(now);
     m_registry.tick();
     if (now - m_heartbeatSentAt >= heartbeatInterval) {
@@ -469,7 +473,7 @@
 {
     const Millis now = m_ports.clock.now();
     if (m_drainStartedAt.value >= 0 || m_admission.config() == nullptr || !m_backendRecords.isLoaded()
-        || !m_coordination.isLoaded() || m_config.isOutdated(now)) {
+        || !m_coordination.isLoaded() || m_config.isOutdated(now) || !m_limits.isReady()) {
         return false;
     }
     if (reachesStore()) {
@@ -487,22 +491,25 @@
     const auto ageOf = [now](Millis freshAsOf) {
         return freshAsOf.value < 0 ? -1 : toSeconds(now - freshAsOf);
     };
-    return {{"vanillaspar_open_requests", static_cast<double>(m_dispatcher.openCount())},
-            {"vanillaspar_waiting_requests", static_cast<double>(m_dispatcher.waitingCount())},
-            {"vanillaspar_configuration_revision", static_cast<double>(m_config.position().revision)},
-            {"vanillaspar_store_era", static_cast<double>(m_config.position().era)},
-            {"vanillaspar_configuration_proof_age_seconds", ageOf(m_config.freshAsOf())},
-            {"vanillaspar_owners_proof_age_seconds", ageOf(m_loads.freshAsOf())},
-            {"vanillaspar_adapter_loads", static_cast<double>(m_loads.adapterLoads())},
-            {"vanillaspar_model_loads", static_cast<double>(m_loads.modelLoads())},
-            {"vanillaspar_listed_hosts", static_cast<double>(callerAddresses(m_settings.domain).size())},
-            {"vanillaspar_suspect_prompt_parts", static_cast<double>(m_prompts.suspectCount())},
-            {"vanillaspar_blocked_prompt_parts", static_cast<double>(m_prompts.blocked().parts().size())},
-            {"vanillaspar_slow_replicas", m_latencyExchange.slowCount()},
-            {"vanillaspar_overload_refusals", static_cast<double>(m_demands.counts().refused)},
-            {"vanillaspar_overload_holds", static_cast<double>(m_demands.counts().held)},
-            {"vanillaspar_overload_owed", static_cast<double>(m_demands.counts().owed)},
-            {"vanillaspar_ready", isReady() ? 1.0 : 0.0}};
+    std::vector<std::pair<std::string, double>> gauges {
+        {"vanillaspar_open_requests", static_cast<double>(m_dispatcher.openCount())},
+        {"vanillaspar_waiting_requests", static_cast<double>(m_dispatcher.waitingCount())},
+        {"vanillaspar_configuration_revision", static_cast<double>(m_config.position().revision)},
+        {"vanillaspar_store_era", static_cast<double>(m_config.position().era)},
+        {"vanillaspar_configuration_proof_age_seconds", ageOf(m_config.freshAsOf())},
+        {"vanillaspar_owners_proof_age_seconds", ageOf(m_loads.freshAsOf())},
+        {"vanillaspar_adapter_loads", static_cast<double>(m_loads.adapterLoads())},
+        {"vanillaspar_model_loads", static_cast<double>(m_loads.modelLoads())},
+        {"vanillaspar_listed_hosts", static_cast<double>(callerAddresses(m_settings.domain).size())},
+        {"vanillaspar_suspect_prompt_parts", static_cast<double>(m_prompts.suspectCount())},
+        {"vanillaspar_blocked_prompt_parts", static_cast<double>(m_prompts.blocked().parts().size())},
+        {"vanillaspar_slow_replicas", m_latencyExchange.slowCount()},
+        {"vanillaspar_overload_refusals", static_cast<double>(m_demands.counts().refused)},
+        {"vanillaspar_overload_holds", static_cast<double>(m_demands.counts().held)},
+        {"vanillaspar_overload_owed", static_cast<double>(m_demands.counts().owed)},
+        {"vanillaspar_ready", isReady() ? 1.0 : 0.0}};
+    m_limits.addGauges(gauges);
+    return gauges;
 }
 
 std::vector<std::string> ServingNode::callerAddresses(const DomainId &domain) const
--- a/serving/servingnode.h
+++ b/serving/servingnode.h
@@ -25,14 +25,15 @@
 #include "serving/placement/enginechooser.h"
 #include "serving/placement/replicalatencies.h"
 #include "serving/queueing/requestlog.h"
+#include "serving/replicalimits.h"
 #include "serving/replicas/adapterversions.h"
 #include "serving/replicas/backendtable.h"
+#include "serving/replicas/expiredentries.h"
 #include "serving/replicas/replicanotices.h"
 #include "serving/replicas/residencymap.h"
 
 #include <array>
 #include <functional>
-#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -172,8 +173,9 @@
     DemandExchange m_demands;
     PromptRecords m_promptRecords;
     HostRegistry m_registry;
+    ReplicaLimits m_limits;
     /** Replicas whose entries were removed right after a store outage, and until when these may be written again. */
-    std::map<ReplicaId, Millis> m_expiredEntries;
+    ExpiredEntries m_expiredEntries;
     ConfigState m_config;
     StoreProofs m_storeProofs;
     StoreAvailability m_availability;
