Order evacuations by era; don't wait for an earlier owner where there is none

Cause: evacuations were compared by plain revisions; and a store whose first era is above 0 would have made every owner of a first start wait for a takeover (10.3 s), as hosts can't tell such a store from a restored one. Change: EvacuationReport carries the era. Replicas without an entry are assigned as takeovers only if the store has a table or this host has seen an earlier era.

--- a/cluster/messages/limits.h
+++ b/cluster/messages/limits.h
@@ -71,13 +71,14 @@
 /** The failure domains that are evacuated at one position of the store. */
 struct EvacuationReport
 {
-    int64_t revision = 0; ///< Of the store.
+    int64_t era = 0; ///< Of the store.
+    int64_t revision = 0; ///< Of the store in that era.
     std::vector<DomainId> domains;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(revision, domains);
+        archive(era, revision, domains);
     }
 };
 
--- a/serving/loadcoordinator.cpp
+++ b/serving/loadcoordinator.cpp
@@ -91,9 +91,11 @@
 {
     const int64_t era = m_context.coordination.position().era;
     if (era != m_era) {
+        m_hasSeenRestore = m_hasSeenRestore || m_isEraKnown;
         m_era = era;
         m_eraSeenAt = m_context.clock.now();
     }
+    m_isEraKnown = m_context.coordination.isLoaded();
     m_freshAsOf = std::max(m_freshAsOf, m_context.coordination.freshAsOf());
     // A host that owns no replicas doesn't need a fresh copy.
     if (!m_terms.isEmpty() && m_context.clock.now() - m_freshAsOf > ownershipLease / 2
@@ -467,15 +469,17 @@
     }
     OwnerTable next = m_owners;
     const bool isConfirmed = next.confirm(m_era, m_highestFencingNumber);
+    const auto known = m_context.coordination.records().find(ownersRecord);
     // A host that missed the restore may order replicas by a table that was lost, until its lease expires.
-    const bool isEachTakeover = m_era > 0 && now - m_eraSeenAt <= takeoverWait();
+    // Without a table no host can order, unless this host has seen an earlier era in which there was one.
+    const bool hasPastTable = known != m_context.coordination.records().end() || m_hasSeenRestore;
+    const bool isEachTakeover = m_era > 0 && hasPastTable && now - m_eraSeenAt <= takeoverWait();
     const bool isAssigned = next.assign(replicasNeedingOwner(), liveHubs(), lostOwners(), isEachTakeover);
     if (!isAssigned && !isConfirmed) {
         return;
     }
     m_isAssigning = true;
     m_assignedAt = now;
-    const auto known = m_context.coordination.records().find(ownersRecord);
     const StorePosition expected
         = known == m_context.coordination.records().end() ? StorePosition() : known->second.position;
     m_context.store.write(Collection::Coordination, ownersRecord, next.toJson(), expected, [this](StoreResult result) {
--- a/serving/membership/evacuations.cpp
+++ b/serving/membership/evacuations.cpp
@@ -33,19 +33,20 @@
     if (!m_mirror.isLoaded()) {
         return;
     }
-    if (isNewer(m_mirror.revision())) {
+    if (isNewer(m_mirror.position())) {
         std::set<DomainId> domains;
         for (const auto &[name, record] : m_mirror.records()) {
             domains.insert(DomainId(name));
         }
-        adopt(m_mirror.revision(), std::move(domains));
+        adopt(m_mirror.position(), std::move(domains));
     }
 }
 
 bool Evacuations::onReport(const EvacuationReport &report)
 {
     m_learnedAt = m_clock.now();
-    return isNewer(report.revision) && adopt(report.revision, {report.domains.begin(), report.domains.end()});
+    const StorePosition position {report.era, report.revision};
+    return isNewer(position) && adopt(position, {report.domains.begin(), report.domains.end()});
 }
 
 std::optional<EvacuationReport> Evacuations::report() const
@@ -53,15 +54,15 @@
     if (!m_position) {
         return std::nullopt;
     }
-    return EvacuationReport {*m_position, {m_domains.begin(), m_domains.end()}};
+    return EvacuationReport {m_position->era, m_position->revision, {m_domains.begin(), m_domains.end()}};
 }
 
-bool Evacuations::isNewer(int64_t position) const
+bool Evacuations::isNewer(StorePosition position) const
 {
     return !m_position || position > *m_position;
 }
 
-bool Evacuations::adopt(int64_t position, std::set<DomainId> domains)
+bool Evacuations::adopt(StorePosition position, std::set<DomainId> domains)
 {
     const bool isFirst = !m_position;
     m_position = position;
@@ -71,12 +72,12 @@
     }
     for (const DomainId &domain : domains) {
         if (m_domains.count(domain) == 0) {
-            m_log.record(EventCode::EvacuationBegun, domain.text(), "revision " + std::to_string(position));
+            m_log.record(EventCode::EvacuationBegun, domain.text(), "position " + position.text());
         }
     }
     for (const DomainId &domain : m_domains) {
         if (domains.count(domain) == 0) {
-            m_log.record(EventCode::EvacuationEnded, domain.text(), "revision " + std::to_string(position));
+            m_log.record(EventCode::EvacuationEnded, domain.text(), "position " + position.text());
         }
     }
     m_domains = std::move(domains);
--- a/serving/membership/evacuations.h
+++ b/serving/membership/evacuations.h
@@ -2,6 +2,7 @@
 
 #include "core/ids.h"
 #include "core/units.h"
+#include "serving/interfaces/storeposition.h"
 #include "serving/membership/recordmirror.h"
 
 #include <cstdint>
@@ -58,13 +59,13 @@
 
 private:
     /** @return whether @p position is newer than the one of the set that is known. */
-    bool isNewer(int64_t position) const;
-    bool adopt(int64_t position, std::set<DomainId> domains);
+    bool isNewer(StorePosition position) const;
+    bool adopt(StorePosition position, std::set<DomainId> domains);
 
     const Clock &m_clock;
     EventLog &m_log;
     Listener m_listener;
-    std::optional<int64_t> m_position; ///< Of the store, of which m_domains is the state.
+    std::optional<StorePosition> m_position; ///< Of the store, of which m_domains is the state.
     std::set<DomainId> m_domains;
     Millis m_learnedAt;
     RecordMirror m_mirror;
