--- a/cluster/message.h
+++ b/cluster/message.h
@@ -6,6 +6,7 @@
 #include "cluster/messages/pong.h"
 #include "cluster/messages/prompts.h"
 #include "cluster/messages/quota.h"
+#include "cluster/messages/records.h"
 #include "cluster/messages/work.h"
 
 #include <variant>
@@ -21,6 +22,6 @@
 using Message = std::variant<Ping, Pong, WorkRequest, WorkCancel, WorkPiece, WorkEnd, TokenRequest, TokenGrant,
                              TokenRefund, ConfigRequest, ConfigResponse, ClusterStateRequest, ClusterStateResponse,
                              RelayRequest, RelayResponse, HostHeartbeat, ResidencyReportBatch, AdapterRequest,
-                             AdapterUseBatch, PromptReport, VersionProof>;
+                             AdapterUseBatch, PromptReport, VersionProof, RecordRequest, RecordAnswer>;
 
 }
--- a/core/eventcode.cpp
+++ b/core/eventcode.cpp
@@ -44,6 +44,8 @@
         {EventCode::ModelOrdered, Severity::Info, "model-ordered"},
         {EventCode::OrderFailed, Severity::Warning, "order-failed"},
         {EventCode::VersionAnnounced, Severity::Info, "version-announced"},
+        {EventCode::RelaySource, Severity::Info, "relay-source"},
+        {EventCode::RelayUnanswered, Severity::Warning, "relay-unanswered"},
         {EventCode::AnswerDropped, Severity::Warning, "answer-dropped"},
         {EventCode::RequestRefused, Severity::Info, "request-refused"},
         {EventCode::RequestRetried, Severity::Info, "request-retried"},
--- a/core/eventcode.h
+++ b/core/eventcode.h
@@ -45,6 +45,8 @@
     ModelOrdered = 413,
     OrderFailed = 414,
     VersionAnnounced = 415,
+    RelaySource = 424,
+    RelayUnanswered = 425,
     AnswerDropped = 500,
     RequestRefused = 501,
     RequestRetried = 502,
--- a/serving/interfaces/statestore.h
+++ b/serving/interfaces/statestore.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -46,6 +47,9 @@
     std::vector<StoredRecord> records;
     bool hasMore = false; ///< Whether the list continues after the last record.
     int64_t revision = 0; ///< The store's revision of which the answer is.
+    /** If another host's copy answered: a time, by this host's clock, at which the copy equalled the store's; negative
+     * if none is known. Unset if the store itself answered. */
+    std::optional<Millis> copyFreshAsOf;
 };
 
 /**
--- a/serving/membership/fleetmembers.cpp
+++ b/serving/membership/fleetmembers.cpp
@@ -72,6 +72,7 @@
         member.peerAddress = record.content.at("peer").get<std::string>();
         member.callerAddress = record.content.at("caller").get<std::string>();
         member.capacity = record.content.value("capacity", 1.0);
+        member.isRelay = record.content.value("relay", false);
     } catch (const nlohmann::json::exception &error) {
         m_peers.erase(host);
         throw DecodeError("host record " + record.name + ": " + error.what());
@@ -258,6 +259,33 @@
     return addresses;
 }
 
+HostId FleetMembers::leader(Millis now) const
+{
+    for (const HostId &hub : m_hubs) {
+        if (hub == m_settings.host || (isLive(hub, now) && m_peers.at(hub).status.reachesStore)) {
+            return hub;
+        }
+    }
+    return {};
+}
+
+std::vector<HostId> FleetMembers::largestOfDomain() const
+{
+    std::set<Rank> ranks {{m_settings.capacity, m_settings.host}};
+    for (const auto &[host, member] : m_peers) {
+        if (member.domain == m_settings.domain) {
+            ranks.insert({member.capacity, host});
+        }
+    }
+    std::vector<HostId> hosts;
+    for (const Rank &rank : ranks) {
+        if (hosts.size() < hubsPerDomain) {
+            hosts.push_back(rank.host);
+        }
+    }
+    return hosts;
+}
+
 bool FleetMembers::isLeader(Millis now) const
 {
     if (!isHub(m_settings.host)) {
--- a/serving/membership/fleetmembers.h
+++ b/serving/membership/fleetmembers.h
@@ -25,6 +25,7 @@
     std::string peerAddress;
     std::string callerAddress;
     double capacity = 1; ///< Processor cores; the larger hosts of a domain become its hubs.
+    bool isRelay = false; ///< Whether it answers requests for records.
     Millis knownSince; ///< When its record was first seen.
     Millis heardDirectlyAt {-1}; ///< When its last heartbeat arrived; negative if none did.
     Millis relayedAt {-1}; ///< When a hub last relayed its status; negative if none did.
@@ -133,6 +134,10 @@
      * Hosts with different views may both consider themselves the leader for a moment.
      */
     bool isLeader(Millis now) const;
+    /** @return the first hub by name that is this host, or is live and reaches the store; empty if there is none. */
+    HostId leader(Millis now) const;
+    /** @return the hosts of this host's domain that are its hubs if all live, by the store's records alone. */
+    std::vector<HostId> largestOfDomain() const;
     /**
      * @param domain of the caller. If there are more hosts than callers accept, those of this domain and then the
      *     largest ones are preferred.
--- a/serving/membership/hostregistry.cpp
+++ b/serving/membership/hostregistry.cpp
@@ -47,10 +47,13 @@
     if (m_isRegistered || m_isWriting || !m_coordination.isLoaded() || now < m_nextWriteAt) {
         return;
     }
-    const nlohmann::json content {{"domain", m_settings.domain.text()},
-                                  {"peer", m_settings.peerAddress},
-                                  {"caller", m_settings.callerAddress},
-                                  {"capacity", m_settings.capacity}};
+    nlohmann::json content {{"domain", m_settings.domain.text()},
+                            {"peer", m_settings.peerAddress},
+                            {"caller", m_settings.callerAddress},
+                            {"capacity", m_settings.capacity}};
+    if (m_settings.features.recordRelay) {
+        content["relay"] = true;
+    }
     if (isKnown && known->second.content == content) {
         m_isRegistered = true;
         return;
--- a/serving/membership/recordmirror.cpp
+++ b/serving/membership/recordmirror.cpp
@@ -24,6 +24,8 @@
 // A store that answers a watch later than this was holding it. An answer may be under way, or wait to be read, for
 // less.
 constexpr Millis longestAnswerTime(500);
+// Other hosts that follow this copy ask far more often than so many records are deleted; if not, they list again.
+constexpr size_t maxDeletedRecords = 1000;
 
 const char *nameOf(Collection collection)
 {
@@ -110,10 +112,14 @@
         fail(read.result);
         return;
     }
+    const Millis freshAsOf = read.copyFreshAsOf.value_or(sentAt);
     if (m_listedRecords.empty()) {
         m_listRevision = read.revision;
-        m_listedSince = sentAt;
+        m_listedSince = freshAsOf;
+        m_isListCopied = false;
     }
+    m_isListCopied = m_isListCopied || read.copyFreshAsOf.has_value();
+    m_listedSince = std::min(m_listedSince, freshAsOf);
     // Pages may be of different revisions; the watch starts from the oldest so that no change in between is missed.
     m_listRevision = std::min(m_listRevision, read.revision);
     std::string last;
@@ -125,7 +131,7 @@
         list(last);
         return;
     }
-    finishList(m_listedSince);
+    finishList();
 }
 
 void RecordMirror::advanceState(Millis sentAt)
@@ -137,10 +143,22 @@
     m_stateAsOf = state;
 }
 
-void RecordMirror::finishList(Millis sentAt)
+void RecordMirror::advanceCopiedState(Millis freshAsOf)
 {
-    succeed();
-    advanceState(sentAt);
+    // The copy held all changes up to its last proof, so that those in this answer are younger.
+    m_changesSince = m_stateAsOf;
+    m_stateAsOf = std::max(m_stateAsOf, freshAsOf);
+}
+
+void RecordMirror::finishList()
+{
+    if (m_isListCopied) {
+        succeed(m_listedSince);
+        advanceCopiedState(m_listedSince);
+    } else {
+        succeed(m_clock.now());
+        advanceState(m_listedSince);
+    }
     std::vector<StoredRecord> changes;
     for (const auto &[name, record] : m_records) {
         if (m_listedRecords.count(name) == 0) {
@@ -157,7 +175,9 @@
     m_revision = m_listRevision;
     m_needsList = false;
     m_isLoaded = true;
-    m_freshAsOf = std::max(m_freshAsOf, sentAt);
+    m_freshAsOf = std::max(m_freshAsOf, m_listedSince);
+    m_deletedRecords.clear();
+    m_historyFrom = m_revision;
     apply(std::move(changes));
 }
 
@@ -172,10 +192,15 @@
         fail(read.result);
         return;
     }
-    succeed();
-    advanceState(sentAt);
+    if (read.copyFreshAsOf) {
+        succeed(*read.copyFreshAsOf);
+        advanceCopiedState(*read.copyFreshAsOf);
+    } else {
+        succeed(m_clock.now());
+        advanceState(sentAt);
+    }
     m_revision = std::max(m_revision, read.revision);
-    m_freshAsOf = std::max(m_freshAsOf, sentAt);
+    m_freshAsOf = std::max(m_freshAsOf, read.copyFreshAsOf.value_or(sentAt));
     if (!read.records.empty()) {
         m_changedAt = m_clock.now();
         apply(std::move(read.records));
@@ -190,13 +215,16 @@
         if (known != m_records.end() && record.revision <= known->second.revision) {
             continue;
         }
+        m_changedRevision = std::max(m_changedRevision, record.revision);
         if (record.isDeleted) {
+            rememberDeleted(record);
             if (known == m_records.end()) {
                 continue;
             }
             m_records.erase(known);
         } else {
             m_records[record.name] = record;
+            m_deletedRecords.erase(record.name);
         }
         changes.push_back(std::move(record));
     }
@@ -205,9 +233,42 @@
     }
 }
 
-void RecordMirror::succeed()
+void RecordMirror::rememberDeleted(const StoredRecord &record)
+{
+    // Also one that was never seen: a copy that follows this one may have it from another host.
+    m_deletedRecords[record.name] = {record.name, record.revision, nullptr, true};
+    if (m_deletedRecords.size() > maxDeletedRecords) {
+        const auto oldest
+            = std::min_element(m_deletedRecords.begin(), m_deletedRecords.end(), [](const auto &a, const auto &b) {
+                  return a.second.revision < b.second.revision;
+              });
+        m_historyFrom = std::max(m_historyFrom, oldest->second.revision);
+        m_deletedRecords.erase(oldest);
+    }
+}
+
+std::optional<std::vector<StoredRecord>> RecordMirror::changesAfter(int64_t since) const
+{
+    if (since < m_historyFrom) {
+        return std::nullopt;
+    }
+    std::vector<StoredRecord> changes;
+    for (const auto *records : {&m_records, &m_deletedRecords}) {
+        for (const auto &[name, record] : *records) {
+            if (record.revision > since) {
+                changes.push_back(record);
+            }
+        }
+    }
+    std::sort(changes.begin(), changes.end(), [](const StoredRecord &a, const StoredRecord &b) {
+        return a.revision < b.revision;
+    });
+    return changes;
+}
+
+void RecordMirror::succeed(Millis answeredAt)
 {
-    m_answeredAt = m_clock.now();
+    m_answeredAt = std::max(m_answeredAt, answeredAt);
     if (m_failures > 0) {
         m_failures = 0;
         m_recoveredAt = m_clock.now();
--- a/serving/membership/recordmirror.h
+++ b/serving/membership/recordmirror.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -99,6 +100,21 @@
     {
         return m_records;
     }
+    /** @return the position after which changesAfter() knows all changes. */
+    int64_t historyFrom() const
+    {
+        return m_historyFrom;
+    }
+    /** @return the position of the newest change that is known. */
+    int64_t changedRevision() const
+    {
+        return m_changedRevision;
+    }
+    /**
+     * @param since a position of another copy.
+     * @return the changes after it in their order, deleted records included; nothing if they aren't known any more.
+     */
+    std::optional<std::vector<StoredRecord>> changesAfter(int64_t since) const;
 
 private:
     void list(const std::string &after);
@@ -106,11 +122,16 @@
     void onListed(StoreRead read, Millis sentAt);
     void onWatched(StoreRead read, Millis sentAt);
     void fail(StoreResult result);
-    void succeed();
+    /** A call succeeded. @param answeredAt when the store is known to have answered. */
+    void succeed(Millis answeredAt);
     void apply(std::vector<StoredRecord> records);
-    void finishList(Millis sentAt);
+    void finishList();
     /** Updates which moment of the store the copy shows. @param sentAt when the call was sent that is answered now. */
     void advanceState(Millis sentAt);
+    /** The same for an answer of another host's copy. @param freshAsOf when that equalled the store's. */
+    void advanceCopiedState(Millis freshAsOf);
+    /** Keeps a deleted record for changesAfter(). */
+    void rememberDeleted(const StoredRecord &record);
 
     StateStore &m_store;
     Collection m_collection;
@@ -121,9 +142,14 @@
     Listener m_listener;
     std::map<std::string, StoredRecord> m_records;
     std::map<std::string, StoredRecord> m_listedRecords; ///< Records of the pages read so far by an unfinished list.
+    /** Records that were deleted since the last list, without their content. */
+    std::map<std::string, StoredRecord> m_deletedRecords;
+    int64_t m_historyFrom = 0; ///< The position after which all changes are known.
+    int64_t m_changedRevision = 0; ///< Of the newest change.
     int64_t m_revision = 0;
     int64_t m_listRevision = 0;
-    Millis m_listedSince; ///< When the first page of the list was asked for.
+    Millis m_listedSince; ///< When the first page of the list was asked for; for copied pages, their freshness.
+    bool m_isListCopied = false; ///< Whether another host's copy answered a page of the list.
     bool m_isLoaded = false;
     bool m_needsList = true;
     uint64_t m_openCall = 0;
--- a/serving/membership/versionrecords.cpp
+++ b/serving/membership/versionrecords.cpp
@@ -11,6 +11,7 @@
 #include "serving/replicas/adapterversions.h"
 #include "serving/replicas/residencymap.h"
 
+#include <algorithm>
 #include <map>
 
 namespace vanillaspar::serving
@@ -50,7 +51,8 @@
 
 void VersionRecords::setIntervals(const PollIntervals &intervals, bool isLeader)
 {
-    const Millis watchTimeout = isLeader ? m_versions.limit() * leaderWatch : intervals.watchTimeout;
+    const Millis watchTimeout
+        = isLeader ? std::min(m_versions.limit() * leaderWatch, intervals.watchTimeout) : intervals.watchTimeout;
     m_mirror.setIntervals({watchTimeout, intervals.versionPollInterval});
 }
 
--- a/serving/servingnode.cpp
+++ b/serving/servingnode.cpp
@@ -64,6 +64,14 @@
     {
         node.m_versionRecords.onProof(proof, node.m_members);
     }
+    void operator()(const RecordRequest &request) const
+    {
+        node.m_relay.onRequest(from, request);
+    }
+    void operator()(const RecordAnswer &answer) const
+    {
+        node.m_relay.onAnswer(from, answer);
+    }
     void operator()(const AdapterRequest &request) const
     {
         node.m_loads.onAdapterRequest(request);
@@ -98,18 +106,19 @@
     , m_requestLog(m_ports.log, m_ports.metrics)
     , m_dispatcher({m_ports.clock, m_ports.callers, m_ports.attempts, m_admission, m_backends, m_residency, m_versions,
                     m_chooser, m_prompts, m_requestLog, m_settings.domain})
-    , m_configuration(m_ports.store, Collection::Configuration, {hubPolling.configWatchTimeout, configPollInterval},
+    , m_relay(m_settings, m_ports.clock, m_ports.store, m_ports.peers, m_ports.log, m_members)
+    , m_configuration(m_relay.store(), Collection::Configuration, {hubPolling.configWatchTimeout, configPollInterval},
                       m_ports.clock, m_random, m_ports.log,
                       [this](const std::vector<StoredRecord> &records) {
                           onConfiguration(records);
                       })
-    , m_backendRecords(m_ports.store, Collection::Backends, {hubPolling.watchTimeout, hubPolling.backendPollInterval},
+    , m_backendRecords(m_relay.store(), Collection::Backends, {hubPolling.watchTimeout, hubPolling.backendPollInterval},
                        m_ports.clock, m_random, m_ports.log,
                        [this](const std::vector<StoredRecord> &records) {
                            onBackends(records);
                        })
-    , m_versionRecords(m_ports.store, m_ports.decoder, m_ports.clock, m_random, m_ports.log, m_versions, m_residency)
-    , m_coordination(m_ports.store, Collection::Coordination,
+    , m_versionRecords(m_relay.store(), m_ports.decoder, m_ports.clock, m_random, m_ports.log, m_versions, m_residency)
+    , m_coordination(m_relay.store(), Collection::Coordination,
                      {hubPolling.watchTimeout, hubPolling.coordinationPollInterval}, m_ports.clock, m_random,
                      m_ports.log,
                      [this](const std::vector<StoredRecord> &records) {
@@ -126,6 +135,10 @@
     , m_startedAt(m_ports.clock.now())
 {
     setSettings(m_settings);
+    m_relay.setMirrors({{Collection::Configuration, &m_configuration},
+                        {Collection::Backends, &m_backendRecords},
+                        {Collection::AdapterVersions, &m_versionRecords.mirror()},
+                        {Collection::Coordination, &m_coordination}});
     m_ports.log.record(EventCode::NodeStarted, m_settings.host.text(), "incarnation " + m_members.incarnation().text());
 }
 
@@ -320,6 +333,7 @@
 void ServingNode::tick()
 {
     const Millis now = m_ports.clock.now();
+    m_relay.tick();
     m_configuration.tick();
     m_backendRecords.tick();
     m_versionRecords.tick();
@@ -356,19 +370,6 @@
     return {revision, freshAsOf.value < 0 ? -1 : (now - freshAsOf).value};
 }
 
-const PollIntervals &ServingNode::pollIntervals() const
-{
-    const Millis now = m_ports.clock.now();
-    if (m_members.isLeader(now)) {
-        return leaderPolling;
-    }
-    const HostId hubId = m_members.hubOf(m_settings.host);
-    const auto hub = m_members.peers().find(hubId);
-    const bool isLeafHost = hubId != m_settings.host && hub != m_members.peers().end()
-        && m_members.isHeardDirectly(hubId, now) && hub->second.status.reachesStore;
-    return isLeafHost ? leafPolling : hubPolling;
-}
-
 bool ServingNode::reachesStore() const
 {
     // The time of the last answer counts, not the copy's freshness: that dates from when the watch was sent, and so is
@@ -472,17 +473,20 @@
     const auto ageOf = [now](Millis freshAsOf) {
         return freshAsOf.value < 0 ? -1 : toSeconds(now - freshAsOf);
     };
-    return {{"vanillaspar_open_requests", static_cast<double>(m_dispatcher.openCount())},
-            {"vanillaspar_waiting_requests", static_cast<double>(m_dispatcher.waitingCount())},
-            {"vanillaspar_configuration_revision", static_cast<double>(m_configRevision)},
-            {"vanillaspar_configuration_proof_age_seconds", ageOf(m_configFreshAsOf)},
-            {"vanillaspar_owners_proof_age_seconds", ageOf(m_loads.freshAsOf())},
-            {"vanillaspar_adapter_loads", static_cast<double>(m_loads.adapterLoads())},
-            {"vanillaspar_model_loads", static_cast<double>(m_loads.modelLoads())},
-            {"vanillaspar_listed_hosts", static_cast<double>(callerAddresses(m_settings.domain).size())},
-            {"vanillaspar_suspect_prompt_parts", static_cast<double>(m_prompts.suspectCount())},
-            {"vanillaspar_blocked_prompt_parts", static_cast<double>(m_prompts.blocked().parts().size())},
-            {"vanillaspar_ready", isReady() ? 1.0 : 0.0}};
+    std::vector<std::pair<std::string, double>> gauges {
+        {"vanillaspar_open_requests", static_cast<double>(m_dispatcher.openCount())},
+        {"vanillaspar_waiting_requests", static_cast<double>(m_dispatcher.waitingCount())},
+        {"vanillaspar_configuration_revision", static_cast<double>(m_configRevision)},
+        {"vanillaspar_configuration_proof_age_seconds", ageOf(m_configFreshAsOf)},
+        {"vanillaspar_owners_proof_age_seconds", ageOf(m_loads.freshAsOf())},
+        {"vanillaspar_adapter_loads", static_cast<double>(m_loads.adapterLoads())},
+        {"vanillaspar_model_loads", static_cast<double>(m_loads.modelLoads())},
+        {"vanillaspar_listed_hosts", static_cast<double>(callerAddresses(m_settings.domain).size())},
+        {"vanillaspar_suspect_prompt_parts", static_cast<double>(m_prompts.suspectCount())},
+        {"vanillaspar_blocked_prompt_parts", static_cast<double>(m_prompts.blocked().parts().size())},
+        {"vanillaspar_ready", isReady() ? 1.0 : 0.0}};
+    m_relay.addGauges(gauges);
+    return gauges;
 }
 
 std::vector<std::string> ServingNode::callerAddresses(const DomainId &domain) const
--- a/serving/servingnode.h
+++ b/serving/servingnode.h
@@ -16,6 +16,7 @@
 #include "serving/membership/pollintervals.h"
 #include "serving/membership/promptrecords.h"
 #include "serving/membership/recordmirror.h"
+#include "serving/membership/recordrelay.h"
 #include "serving/membership/versionrecords.h"
 #include "serving/placement/enginechooser.h"
 #include "serving/queueing/requestlog.h"
@@ -123,7 +124,10 @@
     /** @return whether this host should assign owners to replicas: it is the leader and has all records. */
     bool mayAssignOwners() const;
     /** @return the intervals for this host's present role: leader, hub or leaf host. */
-    const PollIntervals &pollIntervals() const;
+    const PollIntervals &pollIntervals() const
+    {
+        return m_relay.intervals();
+    }
     bool reachesStore() const;
     /** @return a heartbeat with the state of this host alone. */
     HostHeartbeat makeOwnHeartbeat();
@@ -143,6 +147,7 @@
     PromptGuard m_prompts;
     RequestLog m_requestLog;
     Dispatcher m_dispatcher;
+    RecordRelay m_relay;
     RecordMirror m_configuration;
     RecordMirror m_backendRecords;
     VersionRecords m_versionRecords;
--- a/tests/fakes/fleetstore.cpp
+++ b/tests/fakes/fleetstore.cpp
@@ -67,6 +67,7 @@
 
 uint64_t FleetStore::Client::add(Call call)
 {
+    ++m_store.m_calls;
     m_calls.emplace(m_nextCall, std::move(call));
     return m_nextCall++;
 }
--- a/tests/fakes/fleetstore.h
+++ b/tests/fakes/fleetstore.h
@@ -73,6 +73,11 @@
         const auto count = m_watches.find(collection);
         return count == m_watches.end() ? 0 : count->second;
     }
+    /** @return how many calls of all kinds were sent. */
+    int64_t callCount() const
+    {
+        return m_calls;
+    }
     /** @return the names of a collection's records. */
     std::vector<std::string> names(Collection collection) const;
 
@@ -83,6 +88,7 @@
 
     const VirtualClock &m_clock;
     int64_t m_revision = 1;
+    int64_t m_calls = 0;
     std::map<Collection, int64_t> m_watches;
     std::map<Collection, std::map<std::string, StoredRecord>> m_records; ///< Removed ones too.
 };
--- a/tests/fakes/servingfleet.cpp
+++ b/tests/fakes/servingfleet.cpp
@@ -171,6 +171,7 @@
         settings.peerAddress = "10.0.0." + std::to_string(i + 1) + ":7600";
         settings.callerAddress = "10.0.0." + std::to_string(i + 1) + ":8000";
         settings.capacity = i < 6 ? 1 : 0.2;
+        settings.features.recordRelay = m_setup.isRelaying && i >= m_setup.hostsWithoutRelay;
         start(i);
     }
     const double soundRate = std::exchange(m_setup.soundRate, 0);
--- a/tests/fakes/servingfleet.h
+++ b/tests/fakes/servingfleet.h
@@ -29,6 +29,8 @@
     std::string target = "/s/"; ///< Path of the route that is asked for; "/r/" may be resumed.
     double crashingLoadRate
         = 0; ///< Requests a second for an adapter that ends every engine which is ordered to load it.
+    bool isRelaying = false; ///< Whether hosts read the store's records from hubs.
+    size_t hostsWithoutRelay = 0; ///< The first so many hosts are of a build without it.
     bool hasHead = true; ///< Whether a replica sends the start of an answer before it crashes on it.
 };
 
