--- a/serving/membership/relayedstore.cpp
+++ b/serving/membership/relayedstore.cpp
@@ -234,17 +234,17 @@
     const Millis now = m_context.clock.now();
     const FleetMembers &members = m_context.members;
     const HostId &self = m_context.settings.host;
-    HostId host = members.isHub(self) ? members.leader(now) : members.hubOf(self);
-    if (host.isEmpty() || host == self) {
-        host = expectedHub();
-    } else {
-        // A hub that starts at the same time reads the store before it can say that it reaches it.
-        const bool reachesStore = members.peers().at(host).status.reachesStore || now - m_startedAt < startTime * 2;
-        if (!reachesStore || !members.isHeardDirectly(host, now)) {
-            return {};
-        }
+    const HostId hub = members.isHub(self) ? members.leader(now) : members.hubOf(self);
+    if (hub.isEmpty() || hub == self) {
+        const HostId expected = expectedHub();
+        return isUsable(expected) ? expected : HostId();
+    }
+    // A hub stays one until the next round although its record was removed.
+    if (!isUsable(hub) || !members.isHeardDirectly(hub, now)) {
+        return {};
     }
-    return isUsable(host) ? host : HostId();
+    // A hub that starts at the same time reads the store before it can say that it reaches it.
+    return members.peers().at(hub).status.reachesStore || now - m_startedAt < startTime * 2 ? hub : HostId();
 }
 
 HostId RelayedStore::expectedHub() const
