--- a/cluster/message.h
+++ b/cluster/message.h
@@ -9,6 +9,7 @@
 #include "cluster/messages/pong.h"
 #include "cluster/messages/prompts.h"
 #include "cluster/messages/quota.h"
+#include "cluster/messages/records.h"
 #include "cluster/messages/store.h"
 #include "cluster/messages/work.h"
 
@@ -26,6 +27,6 @@
                              TokenRefund, ConfigRequest, ConfigResponse, ClusterStateRequest, ClusterStateResponse,
                              RelayRequest, RelayResponse, HostHeartbeat, ResidencyReportBatch, AdapterRequest,
                              AdapterUseBatch, PromptReport, VersionProof, StoreProof, LatencyReport, DemandReport,
-                             ColdReport, ColdPermitRequest, ColdPermit, EvacuationReport>;
+                             ColdReport, ColdPermitRequest, ColdPermit, EvacuationReport, RecordRequest, RecordAnswer>;
 
 }
--- a/core/eventcode.cpp
+++ b/core/eventcode.cpp
@@ -54,6 +54,8 @@
         {EventCode::ColdStateUnknown, Severity::Warning, "cold-state-unknown"},
         {EventCode::EvacuationBegun, Severity::Warning, "evacuation-begun"},
         {EventCode::EvacuationEnded, Severity::Info, "evacuation-ended"},
+        {EventCode::RelaySource, Severity::Info, "relay-source"},
+        {EventCode::RelayUnanswered, Severity::Warning, "relay-unanswered"},
         {EventCode::AnswerDropped, Severity::Warning, "answer-dropped"},
         {EventCode::RequestRefused, Severity::Info, "request-refused"},
         {EventCode::RequestRetried, Severity::Info, "request-retried"},
--- a/core/eventcode.h
+++ b/core/eventcode.h
@@ -55,6 +55,8 @@
     ColdStateUnknown = 417,
     EvacuationBegun = 418,
     EvacuationEnded = 419,
+    RelaySource = 424,
+    RelayUnanswered = 425,
     AnswerDropped = 500,
     RequestRefused = 501,
     RequestRetried = 502,
--- a/serving/interfaces/statestore.h
+++ b/serving/interfaces/statestore.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -50,6 +51,9 @@
     std::vector<StoredRecord> records;
     bool hasMore = false; ///< Whether the list continues after the last record.
     StorePosition position; ///< The store's position of which the answer is; the era also if the call failed.
+    /** If another host's copy answered: a time, by this host's clock, at which the copy equalled the store's; negative
+     * if none is known. Unset if the store itself answered. */
+    std::optional<Millis> copyFreshAsOf;
 };
 
 /**
--- a/serving/loadcoordinator.cpp
+++ b/serving/loadcoordinator.cpp
@@ -162,8 +162,8 @@
 
 bool LoadCoordinator::hasOwnedFor(const ReplicaId &replica, Millis duration) const
 {
-    const auto since = m_ownedSince.find(replica);
-    return mayOrder(replica) && since != m_ownedSince.end() && m_context.clock.now() - since->second >= duration;
+    const std::optional<Millis> since = m_terms.ownedSince(replica);
+    return mayOrder(replica) && since && m_context.clock.now() - *since >= duration;
 }
 
 bool LoadCoordinator::canOrder(const ReplicaId &replica) const
--- a/serving/loading/ownershipterms.cpp
+++ b/serving/loading/ownershipterms.cpp
@@ -51,4 +51,10 @@
     return !mustWait || term->second.isContinued || now - term->second.since > wait;
 }
 
+std::optional<Millis> OwnershipTerms::ownedSince(const ReplicaId &replica) const
+{
+    const auto term = m_terms.find(replica);
+    return term == m_terms.end() ? std::nullopt : std::optional<Millis>(term->second.since);
+}
+
 }
--- a/serving/loading/ownershipterms.h
+++ b/serving/loading/ownershipterms.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 
 namespace vanillaspar::serving
@@ -48,6 +49,8 @@
      * @return whether the previous owner's lease has expired, as far as this host has to wait for it.
      */
     bool hasBegun(const OwnerTable &table, const ReplicaId &replica, Millis wait, Millis now) const;
+    /** @return since when this host has owned the replica, as far as it knows; nothing if it doesn't. */
+    std::optional<Millis> ownedSince(const ReplicaId &replica) const;
 
 private:
     /** This host's ownership of a replica. */
--- a/serving/membership/recordmirror.h
+++ b/serving/membership/recordmirror.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -100,6 +101,21 @@
     {
         return m_records;
     }
+    /** @return the position after which changesAfter() knows all changes. */
+    StorePosition historyFrom() const
+    {
+        return m_historyFrom;
+    }
+    /** @return the position of the newest change that is known. */
+    StorePosition changedPosition() const
+    {
+        return m_changedPosition;
+    }
+    /**
+     * @param since a position of another copy.
+     * @return the changes after it in their order, deleted records included; nothing if they aren't known any more.
+     */
+    std::optional<std::vector<StoredRecord>> changesAfter(StorePosition since) const;
 
 private:
     void list(const std::string &after);
@@ -107,13 +123,18 @@
     void onListed(StoreRead read, Millis sentAt);
     void onWatched(StoreRead read, Millis sentAt);
     void fail(StoreResult result);
-    void succeed();
+    /** A call succeeded. @param answeredAt when the store is known to have answered. */
+    void succeed(Millis answeredAt);
     void apply(std::vector<StoredRecord> records);
-    void finishList(Millis sentAt);
+    void finishList();
     /** Lists at once if an answer is of a newer era than the copy. @return whether it is of another era. */
     bool handleOtherEra(const StoreRead &read);
     /** Updates which moment of the store the copy shows. @param sentAt when the call was sent that is answered now. */
     void advanceState(Millis sentAt);
+    /** The same for an answer of another host's copy. @param freshAsOf when that equalled the store's. */
+    void advanceCopiedState(Millis freshAsOf);
+    /** Keeps a deleted record for changesAfter(). */
+    void rememberDeleted(const StoredRecord &record);
 
     StateStore &m_store;
     Collection m_collection;
@@ -126,7 +147,12 @@
     std::map<std::string, StoredRecord> m_listedRecords; ///< Records of the pages read so far by an unfinished list.
     StorePosition m_position;
     StorePosition m_listPosition;
-    Millis m_listedSince; ///< When the first page of the list was asked for.
+    /** Records that were deleted since the last list, without their content. */
+    std::map<std::string, StoredRecord> m_deletedRecords;
+    StorePosition m_historyFrom; ///< The position after which all changes are known.
+    StorePosition m_changedPosition; ///< Of the newest change.
+    Millis m_listedSince; ///< When the first page of the list was asked for; for copied pages, their freshness.
+    bool m_isListCopied = false; ///< Whether another host's copy answered a page of the list.
     bool m_isLoaded = false;
     bool m_needsList = true;
     uint64_t m_openCall = 0;
--- a/serving/servingnode.cpp
+++ b/serving/servingnode.cpp
@@ -71,6 +71,14 @@
     {
         node.m_demands.receive(from, report);
     }
+    void operator()(const RecordRequest &request) const
+    {
+        node.m_relay.onRequest(from, request);
+    }
+    void operator()(const RecordAnswer &answer) const
+    {
+        node.m_relay.onAnswer(from, answer);
+    }
     void operator()(const AdapterRequest &request) const
     {
         node.m_loads.onAdapterRequest(request);
@@ -108,18 +116,19 @@
     , m_requestLog(m_ports.log, m_ports.metrics)
     , m_dispatcher({m_ports.clock, m_ports.callers, m_ports.attempts, m_admission, m_backends, m_residency, m_versions,
                     m_chooser, m_prompts, m_requestLog, m_settings.domain, &m_latencies, &m_random})
-    , m_configuration(m_ports.store, Collection::Configuration, {hubPolling.configWatchTimeout, configPollInterval},
+    , m_relay(m_settings, m_ports.clock, m_ports.store, m_ports.peers, m_ports.log, m_members)
+    , m_configuration(m_relay.store(), Collection::Configuration, {hubPolling.configWatchTimeout, configPollInterval},
                       m_ports.clock, m_random, m_ports.log,
                       [this](const std::vector<StoredRecord> &records) {
                           onConfiguration(records);
                       })
-    , m_backendRecords(m_ports.store, Collection::Backends, {hubPolling.watchTimeout, hubPolling.backendPollInterval},
+    , m_backendRecords(m_relay.store(), Collection::Backends, {hubPolling.watchTimeout, hubPolling.backendPollInterval},
                        m_ports.clock, m_random, m_ports.log,
                        [this](const std::vector<StoredRecord> &records) {
                            onBackends(records);
                        })
-    , m_versionRecords(m_ports.store, m_ports.decoder, m_ports.clock, m_random, m_ports.log, m_versions, m_residency)
-    , m_coordination(m_ports.store, Collection::Coordination,
+    , m_versionRecords(m_relay.store(), m_ports.decoder, m_ports.clock, m_random, m_ports.log, m_versions, m_residency)
+    , m_coordination(m_relay.store(), Collection::Coordination,
                      {hubPolling.watchTimeout, hubPolling.coordinationPollInterval}, m_ports.clock, m_random,
                      m_ports.log,
                      [this](const std::vector<StoredRecord> &records) {
@@ -140,6 +149,10 @@
 {
     m_chooser.setLatencies(m_latencies);
     setSettings(m_settings);
+    m_relay.setMirrors({{Collection::Configuration, &m_configuration},
+                        {Collection::Backends, &m_backendRecords},
+                        {Collection::AdapterVersions, &m_versionRecords.mirror()},
+                        {Collection::Coordination, &m_coordination}});
     m_ports.log.record(EventCode::NodeStarted, m_settings.host.text(), "incarnation " + m_members.incarnation().text());
 }
 
@@ -338,6 +351,7 @@
 void ServingNode::tick()
 {
     const Millis now = m_ports.clock.now();
+    m_relay.tick();
     m_configuration.tick();
     m_backendRecords.tick();
     m_versionRecords.tick();
@@ -370,17 +384,6 @@
     m_loads.tick();
 }
 
-const PollIntervals &ServingNode::pollIntervals() const
-{
-    const Millis now = m_ports.clock.now();
-    if (m_members.isLeader(now)) {
-        return leaderPolling;
-    }
-    const HostId hubId = m_members.hubOf(m_settings.host);
-    const auto hub = m_members.peers().find(hubId);
-    const bool isLeafHost = hubId != m_settings.host && hub != m_members.peers().end()
-        && m_members.isHeardDirectly(hubId, now) && hub->second.status.reachesStore;
-    return isLeafHost ? leafPolling : hubPolling;
 }
 
 bool ServingNode::reachesStore() const
@@ -509,6 +512,7 @@
         {"vanillaspar_overload_owed", static_cast<double>(m_demands.counts().owed)},
         {"vanillaspar_ready", isReady() ? 1.0 : 0.0}};
     m_limits.addGauges(gauges);
+    m_relay.addGauges(gauges);
     return gauges;
 }
 
@@ -516,5 +520,4 @@
 {
     return m_members.callerAddresses(domain, isReady(), m_ports.clock.now());
 }
-
 }
--- a/serving/servingnode.h
+++ b/serving/servingnode.h
@@ -19,6 +19,7 @@
 #include "serving/membership/pollintervals.h"
 #include "serving/membership/promptrecords.h"
 #include "serving/membership/recordmirror.h"
+#include "serving/membership/recordrelay.h"
 #include "serving/membership/storeavailability.h"
 #include "serving/membership/storeproofs.h"
 #include "serving/membership/versionrecords.h"
@@ -129,7 +130,10 @@
     /** @return whether this host should assign owners to replicas: it is the leader and has all records. */
     bool mayAssignOwners() const;
     /** @return the intervals for this host's present role: leader, hub or leaf host. */
-    const PollIntervals &pollIntervals() const;
+    const PollIntervals &pollIntervals() const
+    {
+        return m_relay.intervals();
+    }
     bool reachesStore() const;
     /** @return a heartbeat with the state of this host alone. */
     HostHeartbeat makeOwnHeartbeat();
@@ -162,6 +166,7 @@
     PromptGuard m_prompts;
     RequestLog m_requestLog;
     Dispatcher m_dispatcher;
+    RecordRelay m_relay;
     RecordMirror m_configuration;
     RecordMirror m_backendRecords;
     VersionRecords m_versionRecords;
--- a/tests/fakes/fleetstore.h
+++ b/tests/fakes/fleetstore.h
@@ -89,6 +89,11 @@
         const auto count = m_watches.find(collection);
         return count == m_watches.end() ? 0 : count->second;
     }
+    /** @return how many calls of all kinds were sent. */
+    int64_t callCount() const
+    {
+        return m_calls;
+    }
     /** @return the names of a collection's records. */
     std::vector<std::string> names(Collection collection) const;
 
@@ -108,6 +113,7 @@
     Copy m_now;
     int64_t m_era = 0;
     std::map<Millis, Copy> m_copies; ///< By when they were made.
+    int64_t m_calls = 0;
     std::map<Collection, int64_t> m_watches;
 };
 
--- a/tests/fakes/servingfleet.h
+++ b/tests/fakes/servingfleet.h
@@ -33,6 +33,8 @@
     bool keepsCopies = false; ///< Whether the store keeps copies to restore.
     double coldPerSecond = 0; ///< Cold rate of the engine pool; above 0 the hosts limit cold engines.
     Millis evacuationLimit {0}; ///< Above 0 the hosts follow evacuations.
+    bool isRelaying = false; ///< Whether hosts read the store's records from hubs.
+    size_t hostsWithoutRelay = 0; ///< The first so many hosts are of a build without it.
     bool hasHead = true; ///< Whether a replica sends the start of an answer before it crashes on it.
 };
 
