--- a/tests/platform/recorddecodertest.cpp
+++ b/tests/platform/recorddecodertest.cpp
@@ -79,16 +79,16 @@
     Json text = Json::parse(configText);
     text["services"][0]["cold_start_s"] = 2.5;
     text["services"][0]["cold_per_s"] = 18;
-    const auto config = decoder.configuration({"main", 3, text, false});
+    const auto config = decoder.configuration({"main", {0, 3}, text, false});
     EXPECT_EQ(config->pools.at(PoolId("engines")).coldStart, Millis(2500));
     EXPECT_EQ(config->pools.at(PoolId("engines")).coldPerSecond, 18);
     EXPECT_EQ(config->pools.at(PoolId("desk")).coldPerSecond, 0);
     Json entry = Json::parse(R"({"service":"s","address":"1.1.1.1:1","zone":"z","slots":1,"state":"ready"})");
-    EXPECT_FALSE(decoder.backend({"i-1", 3, entry, false}).coldLeft);
+    EXPECT_FALSE(decoder.backend({"i-1", {0, 3}, entry, false}).coldLeft);
     entry["cold_left_ms"] = 700U;
-    EXPECT_EQ(decoder.backend({"i-1", 3, entry, false}).coldLeft, Millis(700));
+    EXPECT_EQ(decoder.backend({"i-1", {0, 3}, entry, false}).coldLeft, Millis(700));
     entry["cold_left_ms"] = -1;
-    EXPECT_THROW(decoder.backend({"i-1", 3, entry, false}), DecodeError);
+    EXPECT_THROW(decoder.backend({"i-1", {0, 3}, entry, false}), DecodeError);
 }
 
 TEST(PlatformRecordDecoder, RejectsMalformedReplicaEntries)
--- a/tests/serving/learnedcapacitytest.cpp
+++ b/tests/serving/learnedcapacitytest.cpp
@@ -26,7 +26,6 @@
 constexpr size_t replicaCount = 4;
 constexpr double workMillis = 30; // on average, at a replica of normal speed
 constexpr Millis objective(150);
-constexpr double almostNone = 0.004; // share of late calls; a few of the 5,400 calls of a run
 
 /** One host with what chooses plain replicas. */
 struct CapacityHost
@@ -270,8 +269,8 @@
         }
     }
     RecordProperty("late", std::to_string(shares[0].value()) + " off, " + std::to_string(shares[1].value()) + " on");
-    EXPECT_LE(shares[1].value(), std::max(shares[0].value(), almostNone));
-    EXPECT_LT(shares[1].value(), 0.03);
+    EXPECT_LE(shares[1].value(), shares[0].value());
+    EXPECT_LT(shares[1].value(), 0.02);
 }
 
 // Guards against a domain that gets too much or nothing when its servers are a little slower throughout.
