--- a/tests/serving/heartbeatexchangetest.cpp
+++ b/tests/serving/heartbeatexchangetest.cpp
@@ -91,7 +91,8 @@
                                           {"peer", other->settings.peerAddress},
                                           {"caller", other->settings.callerAddress},
                                           {"capacity", other->settings.capacity}};
-            host.members.onRecord({FleetMembers::recordName(other->settings.host), 1, content, false}, m_clock.now());
+            host.members.onRecord({FleetMembers::recordName(other->settings.host), at(1), content, false},
+                                  m_clock.now());
         }
         host.members.setListed();
     }
--- a/tests/serving/learnedcapacitytest.cpp
+++ b/tests/serving/learnedcapacitytest.cpp
@@ -106,7 +106,7 @@
                                               {"peer", other->settings.peerAddress},
                                               {"caller", other->settings.peerAddress},
                                               {"capacity", other->settings.capacity}};
-                host->members.onRecord({FleetMembers::recordName(other->settings.host), 1, content, false},
+                host->members.onRecord({FleetMembers::recordName(other->settings.host), at(1), content, false},
                                        m_clock.now());
             }
             host->members.setListed();
--- a/tests/serving/relayedstoretest.cpp
+++ b/tests/serving/relayedstoretest.cpp
@@ -44,7 +44,7 @@
         m_clock.setNow(Millis(100000));
         m_copies.add(kind, m_hubMirror);
         m_hubMirror.tick();
-        m_hubStore.answer(kind, {StoreResult::Done, {record("x", 3), record("y", 5)}, false, 9});
+        m_hubStore.answer(kind, {StoreResult::Done, {record("x", 3), record("y", 5)}, false, at(9)});
         join(true);
     }
     /** Two hubs are heard. */
@@ -52,7 +52,7 @@
     {
         for (const std::string name : {"hub", "other"}) {
             m_members.onRecord({"host." + name,
-                                1,
+                                at(1),
                                 {{"domain", "a"},
                                  {"peer", name + ":1"},
                                  {"caller", name + ":2"},
@@ -131,7 +131,7 @@
 {
     const Millis proof = m_hubMirror.freshAsOf();
     advance(700);
-    m_relayed.watch(kind, 9, Millis(10000), keep());
+    m_relayed.watch(kind, at(9), Millis(10000), keep());
     deliverRequests();
     EXPECT_TRUE(m_hubPeers.sent.empty()); // held
     advance(400);
@@ -147,9 +147,9 @@
 // Guards against changes that wait for the end of the hold, and against deletions that a copy isn't told of.
 TEST_F(RelayedStoreTest, ChangesAndDeletionsArePassedOnAtOnce)
 {
-    m_relayed.watch(kind, 9, Millis(10000), keep());
+    m_relayed.watch(kind, at(9), Millis(10000), keep());
     deliverRequests();
-    changeHub({record("z", 10), {"x", 11, nullptr, true}, {"unseen", 12, nullptr, true}}, 12);
+    changeHub({record("z", 10), {"x", at(11), nullptr, true}, {"unseen", at(12), nullptr, true}}, 12);
     advance(10);
     deliverAnswers();
     ASSERT_EQ(m_reads.size(), 1U);
@@ -162,7 +162,7 @@
 // Guards against changes that are missed because the hub doesn't know them any more.
 TEST_F(RelayedStoreTest, APositionBeforeTheHubsListIsListedAgain)
 {
-    m_relayed.watch(kind, 8, Millis(10000), keep());
+    m_relayed.watch(kind, at(8), Millis(10000), keep());
     deliverRequests();
     deliverAnswers();
     ASSERT_EQ(m_reads.size(), 1U);
@@ -172,7 +172,7 @@
 // Guards against records that go back to an older state because the hub is behind.
 TEST_F(RelayedStoreTest, AListThatIsOlderThanWhatIsKnownComesFromTheStore)
 {
-    m_relayed.watch(kind, 20, Millis(10000), keep());
+    m_relayed.watch(kind, at(20), Millis(10000), keep());
     m_leafPeers.sent.clear();
     m_relayed.list(kind, {}, keep());
     deliverRequests();
@@ -216,7 +216,7 @@
         records.push_back(record("r" + std::to_string(i), 20 + i, std::string(15000, 'v')));
     }
     changeHub(records, 600);
-    m_relayed.watch(kind, 9, Millis(10000), keep());
+    m_relayed.watch(kind, at(9), Millis(10000), keep());
     deliverRequests();
     deliverAnswers();
     ASSERT_EQ(m_reads.size(), 1U);
@@ -258,18 +258,18 @@
 TEST_F(RelayedStoreTest, ARecordThatIsTooLargeComesFromTheStore)
 {
     changeHub({record("a", 20, std::string(relayPieceLength * maxRelayPieces, 'v'))}, 30);
-    m_relayed.watch(kind, 9, Millis(10000), keep());
+    m_relayed.watch(kind, at(9), Millis(10000), keep());
     deliverRequests();
     deliverAnswers();
     ASSERT_EQ(m_store.reads.size(), 1U);
-    EXPECT_EQ(m_store.reads[0].since, 9);
+    EXPECT_EQ(m_store.reads[0].since, at(9));
 }
 
 // Guards against a hub that is cut off from the store and goes on answering.
 TEST_F(RelayedStoreTest, ACopyThatIsTooOldAnswersNothing)
 {
     advance(oldestRelayedCopy.value + 1);
-    m_relayed.watch(kind, 9, Millis(10000), keep());
+    m_relayed.watch(kind, at(9), Millis(10000), keep());
     deliverRequests();
     deliverAnswers();
     EXPECT_TRUE(m_reads.empty());
@@ -280,7 +280,7 @@
 TEST_F(RelayedStoreTest, AHubOfThePreviousBuildIsntAsked)
 {
     join(false);
-    m_relayed.watch(kind, 9, Millis(10000), keep());
+    m_relayed.watch(kind, at(9), Millis(10000), keep());
     EXPECT_TRUE(m_leafPeers.sent.empty());
     EXPECT_EQ(m_store.reads.size(), 1U);
 }
