--- a/tests/platform/policyfeaturestest.cpp
+++ b/tests/platform/policyfeaturestest.cpp
@@ -39,10 +39,10 @@
 
 TEST(PolicyFeatures, ExplicitFeaturesOverrideThePolicies)
 {
-    EXPECT_TRUE(EntrySettings::fromYaml(required + "policies: base\nparts: record-relay\n", "test")
+    EXPECT_TRUE(EntrySettings::fromYaml(required + "policies: base\nfeatures: record-relay\n", "test")
                     .serving.features.recordRelay);
-    EXPECT_FALSE(
-        EntrySettings::fromYaml(required + "policies: pool\nparts: none\n", "test").serving.features.learnedCapacity);
+    EXPECT_FALSE(EntrySettings::fromYaml(required + "policies: pool\nfeatures: none\n", "test")
+                     .serving.features.learnedCapacity);
 }
 
 }
