--- a/serving/interfaces/servingfeatures.cpp
+++ b/serving/interfaces/servingfeatures.cpp
@@ -14,7 +14,6 @@
         {"learned-capacity", &ServingFeatures::learnedCapacity},
         {"overload-control", &ServingFeatures::overloadControl},
         {"adapter-placement", &ServingFeatures::adapterPlacement},
-        {"cache-reservation", &ServingFeatures::cacheReservation},
         {"record-relay", &ServingFeatures::recordRelay},
     };
     ServingFeatures features;
--- a/serving/interfaces/servingfeatures.h
+++ b/serving/interfaces/servingfeatures.h
@@ -12,12 +12,11 @@
     bool overloadControl = false; ///< Shares scarce capacity between kinds of request and teams, over all hosts.
     bool adapterPlacement
         = false; ///< Decides over all hosts which adapters are worth a transfer and which are evicted.
-    bool cacheReservation = false; ///< Never sends a replica more requests than its KV cache may hold.
     bool recordRelay = false; ///< Hosts read the store's records from hubs.
 
     /**
      * @param names of features, separated by commas: learned-capacity, overload-control, adapter-placement,
-     *     cache-reservation, record-relay; empty for none.
+     *     record-relay; empty for none.
      * @throws DocumentError if a name is unknown.
      */
     static ServingFeatures fromNames(const std::string &names);
