--- a/tests/fakes/overloadfleet.cpp
+++ b/tests/fakes/overloadfleet.cpp
@@ -167,7 +167,7 @@
     }
     void sendOrder(const Backend &backend, const EngineOrder &order, std::function<void(OrderResult)> handler) override
     {
-        calls.emplace_back(
+        m_calls.emplace_back(
             m_fleet.now() + (order.isLoad ? loadTime : wayTime), [this, id = backend.id, order, handler] {
                 std::vector<EngineAdapter> &adapters = m_fleet.m_replicas.at(id).backend.residency.adapters;
                 std::erase_if(adapters, [&](const EngineAdapter &adapter) {
@@ -181,23 +181,23 @@
     }
     void fetchReport(const Backend &backend, std::function<void(std::optional<EngineResidency>)> handler) override
     {
-        calls.emplace_back(m_fleet.now(), [this, id = backend.id, handler] {
+        m_calls.emplace_back(m_fleet.now(), [this, id = backend.id, handler] {
             handler(m_fleet.m_replicas.at(id).backend.residency);
         });
     }
     void tick()
     {
-        for (auto &[dueAt, call] : std::exchange(calls, {})) {
+        for (auto &[dueAt, call] : std::exchange(m_calls, {})) {
             if (m_fleet.now() >= dueAt) {
                 call();
             } else {
-                calls.emplace_back(dueAt, std::move(call));
+                m_calls.emplace_back(dueAt, std::move(call));
             }
         }
     }
 
 private:
-    std::vector<std::pair<Millis, std::function<void()>>> calls;
+    std::vector<std::pair<Millis, std::function<void()>>> m_calls;
     OverloadFleet &m_fleet;
 };
 
