--- a/tests/net/unboundedbytestest.cpp
+++ b/tests/net/unboundedbytestest.cpp
@@ -6,10 +6,14 @@
 #include "net/tcplistener.h"
 #include "tests/fakes/testport.h"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 #include <memory>
+#include <netinet/in.h>
 #include <optional>
 #include <string>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <vector>
 
 namespace vanillaspar
@@ -253,6 +257,45 @@
     EXPECT_LE(m_ingress.unwrittenBytes(), 32 * mebibyte); // without what the kernel keeps for each connection
 }
 
+// Guards against whole answers, such as refusals or the page of metrics, that pile up for a caller that asks on and on
+// without reading: only answers that are sent in parts were counted.
+TEST_F(UnreadAnswersTest, WholeAnswersThatNobodyReadsStayWithinTheBoundForOneCaller)
+{
+    constexpr size_t requests = 512;
+    constexpr size_t bodyBytes = 64UL * 1024;
+    constexpr int receiveBuffer = 4096; // bytes, so that little is kept outside the process
+    const int caller = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    ASSERT_GE(caller, 0);
+    setsockopt(caller, SOL_SOCKET, SO_RCVBUF, &receiveBuffer, sizeof(receiveBuffer));
+    const sockaddr_in target = m_endpoint.socketAddress();
+    ASSERT_EQ(connect(caller, reinterpret_cast<const sockaddr *>(&target), sizeof(target)), 0);
+    const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+    const std::string body(bodyBytes, 'x');
+    size_t most = 0;
+    const Millis start = m_clock.now();
+    for (size_t sent = 0; sent < requests && m_clock.now() - start < patience;) {
+        if (m_exchanges.size() == sent) {
+            if (send(caller, request.data(), request.size(), MSG_NOSIGNAL) < 0) {
+                break; // the connection was closed, as it has to be
+            }
+            ++sent;
+        }
+        const size_t answered = m_exchanges.size();
+        for (int turn = 0; turn < 100 && m_exchanges.size() == answered && answered < sent; ++turn) {
+            lws_service(m_loop.context(), 0);
+        }
+        if (m_exchanges.size() > answered) {
+            m_ingress.respond(m_exchanges.back(), 404, {}, body);
+        }
+        most = std::max(most, m_ingress.unwrittenBytes());
+        if (m_exchanges.size() < sent) {
+            break; // no longer read
+        }
+    }
+    close(caller);
+    EXPECT_LE(most, 8 * mebibyte + bodyBytes);
+}
+
 }
 
 }
