Count whole answers and heads as unread, for a caller and for all

Cause: HttpIngress counted what a caller leaves unread only in write(), the way of answers in parts. A caller that asks on and on without reading piled up refusals, the directory's lists or pages of metrics without bound. Ruled out: the memory budget, which counts requests and not answers; the idle time-out, as the connection isn't idle.

--- a/net/httpingress.cpp
+++ b/net/httpingress.cpp
@@ -315,6 +315,7 @@
     startHead(*connection, status, headers, true, body.size());
     connection->socket->write(body);
     endExchange(*connection);
+    limitUnwritten(*connection);
 }
 
 void HttpIngress::startAnswer(uint64_t exchange, const HttpHead &head)
@@ -341,12 +342,12 @@
     } else {
         connection->socket->write(data);
     }
-    m_unwritten.update(connection->id, connection->unwrittenMemory());
-    limitUnwritten();
+    limitUnwritten(*connection);
 }
 
-void HttpIngress::limitUnwritten()
+void HttpIngress::limitUnwritten(const Connection &connection)
 {
+    m_unwritten.update(connection.id, connection.unwrittenMemory());
     while (const std::optional<uint64_t> id = m_unwritten.findExcess()) {
         const auto entry = m_connections.find(*id);
         const size_t pending = entry == m_connections.end() ? 0 : entry->second->unwrittenMemory();
@@ -368,6 +369,7 @@
         connection->socket->write("0\r\n\r\n");
     }
     endExchange(*connection);
+    limitUnwritten(*connection); // answers without a body pile up by their heads
 }
 
 void HttpIngress::abort(uint64_t exchange)
--- a/net/httpingress.h
+++ b/net/httpingress.h
@@ -116,8 +116,8 @@
     void startHead(Connection &connection, int status, const HttpHeaders &headers, bool hasLength, uint64_t length);
     void endExchange(Connection &connection);
     void drop(uint64_t connection);
-    /** Drops connections until what callers leave unread is within the limits. */
-    void limitUnwritten();
+    /** Drops connections, perhaps this one, until what callers leave unread is within the limits. */
+    void limitUnwritten(const Connection &connection);
     void sweep();
     Connection *find(uint64_t exchange);
 
