Test a replica that turns cold at a load beyond its limit

The test at full load played 25 requests a second for each engine, below the limit of 32, and so showed little.

--- a/tests/serving/coldreplicatest.cpp
+++ b/tests/serving/coldreplicatest.cpp
@@ -73,6 +73,20 @@
     EXPECT_LE(m_fleet.mostArrivals(0, from, m_fleet.now()), coldLimit);
 }
 
+/** Guards against more than the limit in the time until all hosts know, at a load that alone exceeds the limit. */
+TEST_P(ColdReplicasTest, TurnColdAtALoadBeyondTheLimit)
+{
+    FleetSetup setup = makeSetup(GetParam());
+    setup.soundRate = 1.5 * static_cast<double>(coldLimit) * static_cast<double>(setup.replicas);
+    ServingFleet fleet(setup, 12);
+    fleet.play(Millis(3000));
+    const Millis from = fleet.now();
+    ASSERT_GT(fleet.mostArrivals(0, from - Millis(2000), from), coldLimit) << "the load doesn't exceed the limit";
+    fleet.setCold(0, longTime);
+    fleet.play(Millis(4000));
+    EXPECT_LE(fleet.mostArrivals(0, from, fleet.now()), coldLimit);
+}
+
 /** Guards against a second budget of a new owner, and against shares that come on top of the dead owner's permits. */
 TEST_P(ColdReplicasTest, KeepTheLimitWhenTheOwnerIsDead)
 {
