Review cases 6 to 10: an error of a script's own no longer reads as a broken rule

An uncaught exception of Python and a time-out left run.sh with 1 and 124, where the issue wants 2 for a case that couldn't run. Shown with tests/soak missing: 1 before, 2 now.

--- a/review/standin-2/fleet.py
+++ b/review/standin-2/fleet.py
@@ -25,7 +25,8 @@
 HEARTBEAT_S = 1.2
 READY_S = 20
 BASE = "base"
-HELD, BROKEN, NOT_RUN = 0, 1, 2
+# Python itself exits with 1 on an error, so that run.sh translates BROKEN to 1 and all else but 0 to 2.
+HELD, BROKEN, NOT_RUN = 0, 3, 2
 
 
 class CannotRun(Exception):
@@ -344,7 +345,7 @@
 
 
 def main(play, seconds=115):
-    """Plays a case: play(record, folder, has_trouble). Exits with 0, 1 or 2."""
+    """Plays a case: play(record, folder, has_trouble). Returns HELD, BROKEN or NOT_RUN."""
     here = Path(sys.argv[0]).resolve().parent
     record = Record(here)
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
