Log which fencing numbers a change of the owner table issues, and from which table

The hosts' lines couldn't tell whether the number came from a table that a restore had brought back, or from a leader that didn't know of the restore: owners-assigned said "result 0" alone, and replica-taken-over a number without the table that it stood in. Change: owners-assigned (314) says the highest fencing number, whether the table was confirmed in a new era, and the position of the table that it replaces; replica-taken-over (400) says the position of the table. Notes of the incident, before any change of logic.

--- a/serving/loadcoordinator.cpp
+++ b/serving/loadcoordinator.cpp
@@ -229,7 +229,7 @@
                                                      sendDueOrders();
                                                  });
         m_context.log.record(EventCode::ReplicaTakenOver, replica.text(),
-                             "fence " + std::to_string(entry.fencingNumber));
+                             "fence " + std::to_string(entry.fencingNumber) + ", owner table at " + m_position.text());
     }
     return *orders;
 }
@@ -482,12 +482,16 @@
     m_assignedAt = now;
     const StorePosition expected
         = known == m_context.coordination.records().end() ? StorePosition() : known->second.position;
-    m_context.store.write(Collection::Coordination, ownersRecord, next.toJson(), expected, [this](StoreResult result) {
-        m_isAssigning = false;
-        m_context.log.record(EventCode::OwnersAssigned, m_context.settings.host.text(),
-                             "result " + std::to_string(static_cast<int>(result)));
-        m_context.coordination.refresh();
-    });
+    const std::string change = "highest fence " + std::to_string(next.lastFencingNumber()) + ", "
+        + (isConfirmed ? "confirmed in era " + std::to_string(m_era) + ", " : "") + "replaces "
+        + (expected.isNone() ? "no table" : "the table at " + expected.text());
+    m_context.store.write(
+        Collection::Coordination, ownersRecord, next.toJson(), expected, [this, change](StoreResult result) {
+            m_isAssigning = false;
+            m_context.log.record(EventCode::OwnersAssigned, m_context.settings.host.text(),
+                                 "result " + std::to_string(static_cast<int>(result)) + ", " + change);
+            m_context.coordination.refresh();
+        });
 }
 
 }
