Draw fencing numbers from the store's position, so that a restore doesn't issue one again

Cause: the next number was the last one in the owner table plus one. A restore of the store takes the table back, and who knew the higher number was the leader's process alone (LoadCoordinator::m_highestFencingNumber); here all processes had ended. Change: OwnerTable::nextFencingNumber(): era * 2^32 + revision, of the newest position that the leader knows. A table is written only in place of the one at that position, so the revision rises with every table of an era; the era rises with every restore, and by more than a restore can lose. Nothing needs to be remembered, and m_highestFencingNumber goes. Numbers stay below 2^53 for two million eras. A table of an earlier build, which counted, is followed by higher numbers (test).

--- a/serving/loadcoordinator.cpp
+++ b/serving/loadcoordinator.cpp
@@ -71,7 +71,6 @@
           });
     m_owners = table;
     m_position = record.position;
-    m_highestFencingNumber = std::max(m_highestFencingNumber, m_owners.lastFencingNumber());
     if (!suspended.empty()) {
         m_context.log.record(EventCode::OwnershipSuspended, m_context.settings.host.text(),
                              std::to_string(suspended.size()) + " replicas, owner table at " + m_position.text());
@@ -87,7 +86,7 @@
     }
 }
 
-void LoadCoordinator::updateFreshness()
+void LoadCoordinator::updateEra()
 {
     const int64_t era = m_context.coordination.position().era;
     if (era != m_era) {
@@ -96,6 +95,11 @@
         m_eraSeenAt = m_context.clock.now();
     }
     m_isEraKnown = m_context.coordination.isLoaded();
+}
+
+void LoadCoordinator::updateFreshness()
+{
+    updateEra();
     m_freshAsOf = std::max(m_freshAsOf, m_context.coordination.freshAsOf());
     // A host that owns no replicas doesn't need a fresh copy.
     if (!m_terms.isEmpty() && m_context.clock.now() - m_freshAsOf > ownershipLease / 2
@@ -229,7 +233,8 @@
                                                      sendDueOrders();
                                                  });
         m_context.log.record(EventCode::ReplicaTakenOver, replica.text(),
-                             "fence " + std::to_string(entry.fencingNumber) + ", owner table at " + m_position.text());
+                             "fence " + std::to_string(entry.fencingNumber.value) + ", owner table at "
+                                 + m_position.text());
     }
     return *orders;
 }
@@ -255,7 +260,7 @@
                                      *engine,
                                      m_context.versions,
                                      m_context.settings.host,
-                                     Epoch(entry->fencingNumber),
+                                     entry->fencingNumber,
                                      mayLoadModel(engine->loadsPerSecond),
                                      m_transferPacer.mayStart(adapterLoads())};
     if (orders.sendNextOrder(orderContext, now)) {
@@ -467,22 +472,24 @@
     if (m_isAssigning || now - m_assignedAt < assignInterval || m_context.admission.config() == nullptr) {
         return;
     }
-    OwnerTable next = m_owners;
-    const bool isConfirmed = next.confirm(m_era, m_highestFencingNumber);
+    updateEra(); // answers may have come since the last tick
     const auto known = m_context.coordination.records().find(ownersRecord);
+    const StorePosition expected
+        = known == m_context.coordination.records().end() ? StorePosition() : known->second.position;
+    const Epoch number = m_owners.nextFencingNumber(std::max(expected, m_context.coordination.position()));
+    OwnerTable next = m_owners;
+    const bool isConfirmed = next.confirm(m_era);
     // A host that missed the restore may order replicas by a table that was lost, until its lease expires.
     // Without a table no host can order, unless this host has seen an earlier era in which there was one.
     const bool hasPastTable = known != m_context.coordination.records().end() || m_hasSeenRestore;
     const bool isEachTakeover = m_era > 0 && hasPastTable && now - m_eraSeenAt <= takeoverWait();
-    const bool isAssigned = next.assign(replicasNeedingOwner(), liveHubs(), lostOwners(), isEachTakeover);
+    const bool isAssigned = next.assign(number, replicasNeedingOwner(), liveHubs(), lostOwners(), isEachTakeover);
     if (!isAssigned && !isConfirmed) {
         return;
     }
     m_isAssigning = true;
     m_assignedAt = now;
-    const StorePosition expected
-        = known == m_context.coordination.records().end() ? StorePosition() : known->second.position;
-    const std::string change = "highest fence " + std::to_string(next.lastFencingNumber()) + ", "
+    const std::string change = "highest fence " + std::to_string(next.lastFencingNumber().value) + ", "
         + (isConfirmed ? "confirmed in era " + std::to_string(m_era) + ", " : "") + "replaces "
         + (expected.isNone() ? "no table" : "the table at " + expected.text());
     m_context.store.write(
--- a/serving/loadcoordinator.h
+++ b/serving/loadcoordinator.h
@@ -150,6 +150,8 @@
     bool mayLoadModel(double loadsPerSecond) const;
     /** @return the number of base models being loaded that any host ordered, as far as known. */
     int64_t fleetModelLoads() const;
+    /** Notes the era of the coordination records, and when this host first read them in it. */
+    void updateEra();
     /** Updates the freshness of the owner table, and reads it again if half of the lease has passed. */
     void updateFreshness();
     /** Deletes the orders of replicas that left or have another owner, so that they no longer count as loads. */
@@ -174,7 +176,6 @@
     TransferPacer m_transferPacer; ///< Of loads from the weight store that this host ordered.
     std::map<ReplicaId, std::unique_ptr<ReplicaOrders>> m_orders;
     OwnershipTerms m_terms;
-    int64_t m_highestFencingNumber = 0; ///< Of any table.
     int64_t m_era = 0; ///< Of the coordination records.
     bool m_isEraKnown = false; ///< Whether the coordination records were read in any era.
     bool m_hasSeenRestore = false; ///< Whether this host read them in an earlier era.
--- a/serving/loading/ownershipterms.h
+++ b/serving/loading/ownershipterms.h
@@ -56,7 +56,7 @@
     /** This host's ownership of a replica. */
     struct Term
     {
-        int64_t fencingNumber = 0;
+        Epoch fencingNumber;
         Millis since; ///< When this host first saw itself as the owner.
         bool isContinued = false; ///< Whether it goes on ordering across a change of the era.
     };
--- a/serving/loading/ownertable.cpp
+++ b/serving/loading/ownertable.cpp
@@ -1,6 +1,7 @@
 #include "serving/loading/ownertable.h"
 
 #include "core/error.h"
+#include "serving/interfaces/storeposition.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -8,16 +9,25 @@
 namespace vanillaspar::serving
 {
 
+namespace
+{
+
+// More revisions than a restore can lose, so that every fencing number of an era is higher than all of the eras before.
+// The numbers of two million eras are integers that JSON decoders with double precision keep.
+constexpr int64_t revisionsPerEra = int64_t(1) << 32;
+
+}
+
 OwnerTable OwnerTable::fromJson(const nlohmann::json &content)
 {
     try {
         OwnerTable table;
-        table.m_lastFencingNumber = content.at("fence").get<int64_t>();
+        table.m_lastFencingNumber = Epoch(content.at("fence").get<int64_t>());
         table.m_era = content.value("era", int64_t(0));
         for (const auto &item : content.at("replicas").items()) {
             const nlohmann::json &value = item.value();
             table.m_entries[ReplicaId(item.key())]
-                = {HostId(value.at("host").get<std::string>()), value.at("fence").get<int64_t>(),
+                = {HostId(value.at("host").get<std::string>()), Epoch(value.at("fence").get<int64_t>()),
                    value.at("takeover").get<bool>()};
         }
         return table;
@@ -30,10 +40,10 @@
 {
     nlohmann::json replicas = nlohmann::json::object();
     for (const auto &[id, entry] : m_entries) {
-        replicas[id.text()]
-            = {{"host", entry.host.text()}, {"fence", entry.fencingNumber}, {"takeover", entry.isTakeover}};
+        nlohmann::json &value = replicas[id.text()];
+        value = {{"host", entry.host.text()}, {"fence", entry.fencingNumber.value}, {"takeover", entry.isTakeover}};
     }
-    nlohmann::json content {{"fence", m_lastFencingNumber}, {"replicas", std::move(replicas)}};
+    nlohmann::json content {{"fence", m_lastFencingNumber.value}, {"replicas", std::move(replicas)}};
     if (m_era > 0) {
         content["era"] = m_era;
     }
@@ -46,21 +56,26 @@
     return entry == m_entries.end() ? nullptr : &entry->second;
 }
 
-bool OwnerTable::confirm(int64_t era, int64_t highestFencingNumber)
+Epoch OwnerTable::nextFencingNumber(StorePosition newest) const
+{
+    return std::max(Epoch(newest.era * revisionsPerEra + newest.revision), m_lastFencingNumber + Epoch(1));
+}
+
+bool OwnerTable::confirm(int64_t era)
 {
     if (era <= m_era) {
         return false;
     }
     m_era = era;
-    m_lastFencingNumber = std::max(m_lastFencingNumber, highestFencingNumber);
     for (auto &[replica, entry] : m_entries) {
         entry.isTakeover = true;
     }
     return !m_entries.empty();
 }
 
-bool OwnerTable::assign(const std::vector<DomainMember> &replicas, const std::vector<DomainMember> &liveHosts,
-                        const std::vector<HostId> &lostHosts, bool isEachTakeover)
+bool OwnerTable::assign(Epoch number, const std::vector<DomainMember> &replicas,
+                        const std::vector<DomainMember> &liveHosts, const std::vector<HostId> &lostHosts,
+                        bool isEachTakeover)
 {
     if (liveHosts.empty()) {
         return false;
@@ -89,7 +104,7 @@
         });
         entry = isKnown ? std::next(entry) : m_entries.erase(entry);
     }
-    ++m_lastFencingNumber;
+    m_lastFencingNumber = number;
     for (const DomainMember *replica : unowned) {
         const DomainMember &chosen
             = *std::min_element(liveHosts.begin(), liveHosts.end(), [&](const DomainMember &a, const DomainMember &b) {
@@ -101,8 +116,8 @@
         ++counts[chosen.id];
         OwnerEntry &entry = m_entries[ReplicaId(replica->id)];
         const bool hadOwner = !entry.host.isEmpty();
-        entry
-            = {HostId(chosen.id), m_lastFencingNumber, isEachTakeover || (hadOwner && entry.host != HostId(chosen.id))};
+        const bool isTakeover = isEachTakeover || (hadOwner && entry.host != HostId(chosen.id));
+        entry = {HostId(chosen.id), number, isTakeover};
     }
     return true;
 }
--- a/serving/loading/ownertable.h
+++ b/serving/loading/ownertable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/ids.h"
+#include "core/units.h"
 
 #include <cstdint>
 #include <map>
@@ -10,11 +11,13 @@
 namespace vanillaspar::serving
 {
 
+struct StorePosition;
+
 /** The host that owns one replica, that is, the only one that may order its loads and unloads. */
 struct OwnerEntry
 {
     HostId host;
-    int64_t fencingNumber = 0; ///< Increases with every change of the owner.
+    Epoch fencingNumber; ///< Sent with each order. Increases with every change of the owner.
     /** Whether the replica had another owner before, which may still send orders until its lease has expired. */
     bool isTakeover = false;
 };
@@ -57,28 +60,38 @@
      * replicas keep their owner, since a change leaves a replica without orders for seconds. If any replica is
      * assigned, entries of replicas that aren't in @p replicas are removed.
      *
+     * @param number nextFencingNumber() at the position at which the table is replaced.
      * @param replicas all replicas that take orders.
      * @param liveHosts hosts that can be owners; if empty, nothing changes.
      * @param lostHosts hosts that have been silent for too long to stay owners.
      * @param isEachTakeover whether replicas without an entry may have an owner that isn't known.
      * @return whether the table changed.
      */
-    bool assign(const std::vector<DomainMember> &replicas, const std::vector<DomainMember> &liveHosts,
+    bool assign(Epoch number, const std::vector<DomainMember> &replicas, const std::vector<DomainMember> &liveHosts,
                 const std::vector<HostId> &lostHosts, bool isEachTakeover = false);
     /**
      * Confirms a table of an earlier era: every entry counts as taken over.
      *
      * @param era of the store.
-     * @param highestFencingNumber that was ever seen; later ones will be higher.
      * @return whether the table changed.
      */
-    bool confirm(int64_t era, int64_t highestFencingNumber);
+    bool confirm(int64_t era);
+    /**
+     * Returns the fencing number for the next change of the table.
+     *
+     * It needs no memory of earlier numbers: it follows from the store's position, which is higher for each table than
+     * for all tables before, those that a restore of the store lost included.
+     *
+     * @param newest the newest position of the store that is known; not older than the table's.
+     */
+    Epoch nextFencingNumber(StorePosition newest) const;
     /** @return the era of the store in which the table was written. */
     int64_t era() const
     {
         return m_era;
     }
-    int64_t lastFencingNumber() const
+    /** @return the highest fencing number issued so far. */
+    Epoch lastFencingNumber() const
     {
         return m_lastFencingNumber;
     }
@@ -86,7 +99,7 @@
 private:
     std::map<ReplicaId, OwnerEntry> m_entries;
     int64_t m_era = 0;
-    int64_t m_lastFencingNumber = 0; ///< The highest one assigned so far.
+    Epoch m_lastFencingNumber;
 };
 
 }
--- a/tests/fakes/servingfleet.cpp
+++ b/tests/fakes/servingfleet.cpp
@@ -79,7 +79,7 @@
     }
     void sendOrder(const Backend &backend, const EngineOrder &order, std::function<void(OrderResult)> handler) override
     {
-        m_fleet.m_orders[backend.id].push_back({m_fleet.m_clock.now(), order.issuer});
+        m_fleet.m_orders[backend.id].push_back({m_fleet.m_clock.now(), order.issuer, order.fencingNumber});
         if (order.isLoad && order.weights == crashingAdapter) {
             handlers.push_back([this, replica = backend.id, handler] {
                 m_fleet.crashOnLoad(replica);
@@ -179,7 +179,7 @@
     ++host.incarnation;
     host.disturbedAt = m_clock.now();
     host.store = std::make_unique<FleetStore::Client>(m_store);
-    host.store->setCut(host.isCut);
+    host.store->setCut(host.isCut || m_isStoreDown);
     host.callers = std::make_unique<Callers>(*this);
     host.attempts = std::make_unique<Attempts>(*this, number);
     host.peers = std::make_unique<Peers>(*this, number);
@@ -198,6 +198,7 @@
             return run.host == host;
         });
     }
+    m_hosts[host]->isFrozen = false;
     start(host);
 }
 
@@ -213,7 +214,7 @@
     Host &host = *m_hosts[number];
     host.isCut = isCut;
     host.disturbedAt = m_clock.now();
-    host.store->setCut(isCut);
+    host.store->setCut(isCut || m_isStoreDown);
 }
 
 void ServingFleet::setFrozen(size_t number, bool isFrozen)
@@ -224,6 +225,7 @@
 
 void ServingFleet::setStoreDown(bool isDown)
 {
+    m_isStoreDown = isDown;
     for (const auto &host : m_hosts) {
         host->store->setCut(isDown || host->isCut);
     }
@@ -264,11 +266,6 @@
     }
 }
 
-void ServingFleet::killEngine(size_t engine)
-{
-    endEngine(engine, false);
-}
-
 void ServingFleet::resetConnections(size_t number)
 {
     for (const auto &engine : m_engines) {
--- a/tests/fakes/servingfleet.h
+++ b/tests/fakes/servingfleet.h
@@ -63,6 +63,8 @@
     void restart(size_t host);
     /** Kills the processes of all hosts at once and starts them again. */
     void restartAll();
+    /** Kills a host's process; restart() starts it again. */
+    void kill(size_t host);
     /** Cuts a host off from all others and the store, or ends that. */
     void setCut(size_t host, bool isCut);
     /** Suspends a host's process, or ends that. */
@@ -81,6 +83,8 @@
     void setCold(size_t engine, Millis duration, bool isWritten = true);
     /** Ends an engine for a reason of its own. */
     void killEngine(size_t engine);
+    /** Ends an engine and starts it again at once under the id that it has. */
+    void restartEngine(size_t engine);
     /** Loses the connections of one host to all engines. */
     void resetConnections(size_t host);
 
@@ -129,11 +133,17 @@
     {
         Millis at;
         HostId issuer;
+        Epoch fencingNumber;
     };
     const std::map<ReplicaId, std::vector<OrderSeen>> &orders() const
     {
         return m_orders;
     }
+    /**
+     * @return a line for each order that a replica must not get: one whose fencing number another host has used, one
+     * with a lower number than before, and one sent within the order lease after another host's.
+     */
+    std::string misplacedOrders() const;
     /** @return the refusals that callers got for the crashing part since a time. */
     std::vector<Refusal> crashingRefusals(Millis from) const;
     /** @return the number of sound requests that were refused with a code since a time. */
@@ -149,6 +159,8 @@
     int64_t arrivalsIn(const DomainId &domain, Millis from, Millis to) const;
     /** @return the owner of an engine, by the table in the store; the number of hosts if it has none. */
     size_t ownerOf(size_t engine) const;
+    /** @return the host that sent the last order to an engine in its incarnation; the number of hosts if none did. */
+    size_t lastIssuer(size_t engine) const;
     /** @return the largest datagram that a host has sent, in bytes. */
     size_t largestDatagram() const
     {
@@ -229,6 +241,7 @@
     std::map<ReplicaId, std::vector<OrderSeen>> m_orders;
     std::map<size_t, Millis> m_rewriteAt; ///< When engines write their lost entries again.
     size_t m_largestDatagram = 0;
+    bool m_isStoreDown = false;
 };
 
 }
--- a/tests/fakes/servingfleetcounts.cpp
+++ b/tests/fakes/servingfleetcounts.cpp
@@ -1,4 +1,3 @@
-#include "serving/loading/ownertable.h"
 #include "tests/fakes/fleetconfig.h"
 #include "tests/fakes/servingfleet.h"
 #include "tests/fakes/servingfleetparts.h"
@@ -141,19 +140,4 @@
     });
 }
 
-size_t ServingFleet::ownerOf(size_t engine) const
-{
-    const StoredRecord *owners = m_store.find(Collection::Coordination, "owners");
-    if (owners == nullptr) {
-        return m_hosts.size();
-    }
-    const OwnerTable table = OwnerTable::fromJson(owners->content);
-    const OwnerEntry *entry = table.find(m_engines[engine]->id);
-    size_t host = 0;
-    while (host < m_hosts.size() && (entry == nullptr || entry->host != hostId(host))) {
-        ++host;
-    }
-    return host;
-}
-
 }
--- a/tests/serving/ownertabletest.cpp
+++ b/tests/serving/ownertabletest.cpp
@@ -1,6 +1,7 @@
 #include "serving/loading/ownertable.h"
 
 #include "core/error.h"
+#include "serving/interfaces/storeposition.h"
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
@@ -23,7 +24,8 @@
 TEST(OwnerTable, SharesReplicasEvenly)
 {
     OwnerTable table;
-    ASSERT_TRUE(table.assign(replicas(18), {{"h1", DomainId("a")}, {"h2", DomainId("b")}, {"h3", DomainId("a")}}, {}));
+    ASSERT_TRUE(table.assign(Epoch(1), replicas(18),
+                             {{"h1", DomainId("a")}, {"h2", DomainId("b")}, {"h3", DomainId("a")}}, {}));
     std::map<HostId, int> counts;
     for (const auto &[replica, entry] : table.entries()) {
         ++counts[entry.host];
@@ -38,9 +40,9 @@
 {
     OwnerTable table;
     const std::vector<DomainMember> hosts {{"h1", DomainId("a")}, {"h2", DomainId("b")}};
-    ASSERT_TRUE(table.assign(replicas(4), hosts, {}));
+    ASSERT_TRUE(table.assign(Epoch(1), replicas(4), hosts, {}));
     const OwnerTable before = table;
-    ASSERT_TRUE(table.assign(replicas(4), {{"h2", DomainId("b")}}, {HostId("h1")}));
+    ASSERT_TRUE(table.assign(Epoch(2), replicas(4), {{"h2", DomainId("b")}}, {HostId("h1")}));
     for (const auto &[replica, entry] : table.entries()) {
         const OwnerEntry &old = *before.find(replica);
         EXPECT_EQ(entry.host, HostId("h2"));
@@ -48,19 +50,50 @@
         EXPECT_EQ(entry.fencingNumber > old.fencingNumber, old.host == HostId("h1"))
             << "the fencing number increases with every change of the owner, and only then";
     }
-    EXPECT_FALSE(table.assign(replicas(4), {{"h2", DomainId("b")}}, {HostId("h1")}))
+    EXPECT_FALSE(table.assign(Epoch(3), replicas(4), {{"h2", DomainId("b")}}, {HostId("h1")}))
         << "every replica already has a live owner";
 }
 
 TEST(OwnerTable, SurvivesTheStore)
 {
     OwnerTable table;
-    ASSERT_TRUE(table.assign(replicas(3), {{"h1", DomainId("a")}}, {}));
+    ASSERT_TRUE(table.assign(Epoch(1), replicas(3), {{"h1", DomainId("a")}}, {}));
     const OwnerTable read = OwnerTable::fromJson(table.toJson());
     EXPECT_EQ(read.toJson(), table.toJson());
     EXPECT_THROW(OwnerTable::fromJson(nlohmann::json {{"fence", "x"}}), DecodeError);
 }
 
+TEST(OwnerTable, ATableOfAnEarlierBuildIsFollowedByHigherNumbers)
+{
+    // Guards against fencing numbers that fall at an upgrade: earlier builds counted the changes of the table.
+    const nlohmann::json content {{"fence", 7},
+                                  {"replicas", {{"r0", {{"host", "h1"}, {"fence", 5}, {"takeover", false}}}}}};
+    const OwnerTable table = OwnerTable::fromJson(content);
+    EXPECT_GT(table.nextFencingNumber({0, 40}), table.lastFencingNumber());
+    EXPECT_GT(table.nextFencingNumber({0, 3}), table.lastFencingNumber()) << "not even if the store counted anew";
+    EXPECT_EQ(table.toJson(), content);
+}
+
+TEST(OwnerTable, FencingNumbersRiseWithTheRevisionAndOverEveryRestore)
+{
+    // Guards against a number that is issued again: a restore takes revisions back, by hours if the copy is that old,
+    // and the era may rise by more than one before a host sees it.
+    constexpr int64_t newestRevision = 2000000000;
+    constexpr int64_t lostRevisions = 200000000;
+    constexpr int64_t manyEras = 1000000;
+    const OwnerTable table;
+    Epoch highest;
+    for (const int64_t era : {int64_t(0), int64_t(1), int64_t(2), int64_t(5), manyEras}) {
+        for (const int64_t revision : {newestRevision - lostRevisions, newestRevision - 1, newestRevision}) {
+            const Epoch number = table.nextFencingNumber({era, revision});
+            EXPECT_GT(number, highest) << era << "." << revision;
+            EXPECT_EQ(static_cast<int64_t>(static_cast<double>(number.value)), number.value)
+                << "a JSON decoder that keeps doubles reads another number";
+            highest = number;
+        }
+    }
+}
+
 }
 
 }
