Give the owners of a restored table new fencing numbers before anybody starts to order by it

Cause: the copy that the store comes back from names an owner with number 1, the lost table had its successor with number 2. OwnerTable::confirm() marked the entries as takeovers and left their numbers; a host that knew the era also ordered by a table that the leader hadn't confirmed, once it had waited. Change: confirming gives every entry a number of the new era. Who starts to order needs a confirmed table. An owner whose lease is valid goes on as before: OwnerEntry::assignedAs, which confirming doesn't change, tells that the owner is the same. The wait counts from when a host first saw the era, not from the confirmation, so that it doesn't become longer. Test: FencingNumber.OfAFormerOwnerIsNotUsedAfterThatOfItsSuccessor. OwnershipTermsTest, OwnerTable.ConfirmingIt...; the loads of owners that go on aren't stopped: StoreRestore.WithoutChangesSinceTheCopyOwnersGoOnAtOnce holds as before.

--- a/serving/loadcoordinator.cpp
+++ b/serving/loadcoordinator.cpp
@@ -478,7 +478,7 @@
         = known == m_context.coordination.records().end() ? StorePosition() : known->second.position;
     const Epoch number = m_owners.nextFencingNumber(std::max(expected, m_context.coordination.position()));
     OwnerTable next = m_owners;
-    const bool isConfirmed = next.confirm(m_era);
+    const bool isConfirmed = next.confirm(m_era, number);
     // A host that missed the restore may order replicas by a table that was lost, until its lease expires.
     // Without a table no host can order, unless this host has seen an earlier era in which there was one.
     const bool hasPastTable = known != m_context.coordination.records().end() || m_hasSeenRestore;
--- a/serving/loading/ownershipterms.cpp
+++ b/serving/loading/ownershipterms.cpp
@@ -15,9 +15,9 @@
         if (entry.host != m_self) {
             continue;
         }
-        Term term {entry.fencingNumber, now, false};
+        Term term {entry.assignedAs, now, false};
         const auto known = m_terms.find(replica);
-        if (known != m_terms.end() && known->second.fencingNumber == entry.fencingNumber) {
+        if (known != m_terms.end() && known->second.assignedAs == entry.assignedAs) {
             if (!isNewEra) {
                 term = known->second;
             } else if (mayOrder(replica)) {
@@ -47,8 +47,11 @@
     if (entry == nullptr || term == m_terms.end()) {
         return false;
     }
-    const bool mustWait = entry->isTakeover || table.era() < m_era;
-    return !mustWait || term->second.isContinued || now - term->second.since > wait;
+    if (term->second.isContinued) {
+        return true;
+    }
+    const bool isConfirmed = table.era() >= m_era;
+    return isConfirmed && (!entry->isTakeover || now - term->second.since > wait);
 }
 
 std::optional<Millis> OwnershipTerms::ownedSince(const ReplicaId &replica) const
--- a/serving/loading/ownershipterms.h
+++ b/serving/loading/ownershipterms.h
@@ -18,9 +18,10 @@
  * Since when this host owns which replicas, and which of them it may order without the wait after a takeover.
  *
  * After a restore of the store the table that is read may be older than one that was in force, so that another host may
- * order until its lease expires. Every entry of a table that was written in an earlier era therefore counts as taken
+ * order until its lease expires, and may have used higher fencing numbers. Nobody starts to order by a table that was
+ * written in an earlier era before the leader has confirmed it with new numbers, and every entry then counts as taken
  * over. A host goes on without a wait if it might order until it saw the new era, and the table of that era names it
- * with the same fencing number: no other host can have become the owner while its lease was valid.
+ * by the same assignment: no other host can have become the owner while its lease was valid.
  */
 class OwnershipTerms
 {
@@ -56,7 +57,7 @@
     /** This host's ownership of a replica. */
     struct Term
     {
-        Epoch fencingNumber;
+        Epoch assignedAs; ///< OwnerEntry::assignedAs.
         Millis since; ///< When this host first saw itself as the owner.
         bool isContinued = false; ///< Whether it goes on ordering across a change of the era.
     };
--- a/serving/loading/ownertable.cpp
+++ b/serving/loading/ownertable.cpp
@@ -26,8 +26,9 @@
         table.m_era = content.value("era", int64_t(0));
         for (const auto &item : content.at("replicas").items()) {
             const nlohmann::json &value = item.value();
+            const auto fence = value.at("fence").get<int64_t>();
             table.m_entries[ReplicaId(item.key())]
-                = {HostId(value.at("host").get<std::string>()), Epoch(value.at("fence").get<int64_t>()),
+                = {HostId(value.at("host").get<std::string>()), Epoch(fence), Epoch(value.value("assigned", fence)),
                    value.at("takeover").get<bool>()};
         }
         return table;
@@ -42,6 +43,9 @@
     for (const auto &[id, entry] : m_entries) {
         nlohmann::json &value = replicas[id.text()];
         value = {{"host", entry.host.text()}, {"fence", entry.fencingNumber.value}, {"takeover", entry.isTakeover}};
+        if (entry.assignedAs != entry.fencingNumber) {
+            value["assigned"] = entry.assignedAs.value;
+        }
     }
     nlohmann::json content {{"fence", m_lastFencingNumber.value}, {"replicas", std::move(replicas)}};
     if (m_era > 0) {
@@ -61,13 +65,15 @@
     return std::max(Epoch(newest.era * revisionsPerEra + newest.revision), m_lastFencingNumber + Epoch(1));
 }
 
-bool OwnerTable::confirm(int64_t era)
+bool OwnerTable::confirm(int64_t era, Epoch number)
 {
     if (era <= m_era) {
         return false;
     }
     m_era = era;
+    m_lastFencingNumber = number;
     for (auto &[replica, entry] : m_entries) {
+        entry.fencingNumber = number;
         entry.isTakeover = true;
     }
     return !m_entries.empty();
@@ -117,7 +123,7 @@
         OwnerEntry &entry = m_entries[ReplicaId(replica->id)];
         const bool hadOwner = !entry.host.isEmpty();
         const bool isTakeover = isEachTakeover || (hadOwner && entry.host != HostId(chosen.id));
-        entry = {HostId(chosen.id), number, isTakeover};
+        entry = {HostId(chosen.id), number, number, isTakeover};
     }
     return true;
 }
--- a/serving/loading/ownertable.h
+++ b/serving/loading/ownertable.h
@@ -17,7 +17,8 @@
 struct OwnerEntry
 {
     HostId host;
-    Epoch fencingNumber; ///< Sent with each order. Increases with every change of the owner.
+    Epoch fencingNumber; ///< Sent with each order. Increases with every change of the owner and every new era.
+    Epoch assignedAs; ///< The fencing number with which the host became the owner; a new era doesn't change it.
     /** Whether the replica had another owner before, which may still send orders until its lease has expired. */
     bool isTakeover = false;
 };
@@ -70,12 +71,14 @@
     bool assign(Epoch number, const std::vector<DomainMember> &replicas, const std::vector<DomainMember> &liveHosts,
                 const std::vector<HostId> &lostHosts, bool isEachTakeover = false);
     /**
-     * Confirms a table of an earlier era: every entry counts as taken over.
+     * Confirms a table of an earlier era: every owner stays, counts as having taken over, and gets a new fencing
+     * number, as a table that was lost may have issued higher ones than this one has.
      *
      * @param era of the store.
+     * @param number nextFencingNumber() at a position of that era.
      * @return whether the table changed.
      */
-    bool confirm(int64_t era);
+    bool confirm(int64_t era, Epoch number);
     /**
      * Returns the fencing number for the next change of the table.
      *
--- a/tests/serving/fencingnumbertest.cpp
+++ b/tests/serving/fencingnumbertest.cpp
@@ -77,6 +77,31 @@
     }
 }
 
+TEST(FencingNumber, OfAFormerOwnerIsNotUsedAfterThatOfItsSuccessor)
+{
+    // Guards against a lower fencing number after a higher one: the copy names the owner before the last change.
+    for (uint64_t seed = 1; seed <= seeds; ++seed) {
+        ServingFleet fleet(makeSetup(), seed);
+        fleet.play(Millis(6000));
+        const size_t engine = seed % engines;
+        const size_t former = waitForOrder(fleet, engine);
+        ASSERT_NE(former, none) << "seed " << seed;
+        fleet.kill(former);
+        while (fleet.ownerOf(engine) == former) {
+            fleet.play(checkInterval);
+        }
+        const Millis since = fleet.now() - checkInterval * 2;
+        while (fleet.lastIssuer(engine) == former) {
+            fleet.play(checkInterval);
+        }
+        const size_t successor = fleet.lastIssuer(engine);
+        restoreAndRestart(fleet, since, successor, none);
+        fleet.play(takeoverLimit);
+        EXPECT_EQ(fleet.misplacedOrders(), "") << "seed " << seed;
+        EXPECT_NE(fleet.lastIssuer(engine), successor) << "seed " << seed;
+    }
+}
+
 }
 
 }
--- a/tests/serving/ownertabletest.cpp
+++ b/tests/serving/ownertabletest.cpp
@@ -69,6 +69,7 @@
     const nlohmann::json content {{"fence", 7},
                                   {"replicas", {{"r0", {{"host", "h1"}, {"fence", 5}, {"takeover", false}}}}}};
     const OwnerTable table = OwnerTable::fromJson(content);
+    EXPECT_EQ(table.find(ReplicaId("r0"))->assignedAs, Epoch(5));
     EXPECT_GT(table.nextFencingNumber({0, 40}), table.lastFencingNumber());
     EXPECT_GT(table.nextFencingNumber({0, 3}), table.lastFencingNumber()) << "not even if the store counted anew";
     EXPECT_EQ(table.toJson(), content);
@@ -94,6 +95,27 @@
     }
 }
 
+TEST(OwnerTable, ConfirmingItInANewEraRaisesEveryNumberAndKeepsTheAssignments)
+{
+    // Guards against owners of a restored table that order with a lower number than owners of the lost one.
+    OwnerTable table;
+    const std::vector<DomainMember> hosts {{"h1", DomainId("a")}, {"h2", DomainId("b")}};
+    ASSERT_TRUE(table.assign(table.nextFencingNumber({0, 40}), replicas(4), hosts, {}));
+    const OwnerTable before = table;
+    const Epoch lost = table.nextFencingNumber({0, 60});
+    EXPECT_FALSE(table.confirm(0, table.nextFencingNumber({0, 50})));
+    ASSERT_TRUE(table.confirm(2, table.nextFencingNumber({2, 41})));
+    for (const auto &[replica, entry] : table.entries()) {
+        EXPECT_GT(entry.fencingNumber, lost);
+        EXPECT_EQ(entry.assignedAs, before.find(replica)->assignedAs);
+        EXPECT_EQ(entry.host, before.find(replica)->host);
+        EXPECT_TRUE(entry.isTakeover);
+    }
+    const OwnerTable read = OwnerTable::fromJson(table.toJson());
+    EXPECT_EQ(read.toJson(), table.toJson());
+    EXPECT_EQ(read.find(ReplicaId("r0"))->assignedAs, before.find(ReplicaId("r0"))->assignedAs);
+}
+
 }
 
 }
