Let an owner that goes on across a restore keep the highest fencing number that it has used

Cause: the second copy is from before the table was confirmed in the first era. The owner's lease is valid and its assignment is the same, so it goes on, with the number of that table: "i-1 at 1016930: h100 with fencing number 12 after of h100". Change: OwnershipTerms remembers the highest number of the assignment and gives it to the orders. Nobody else can have it: it was issued for this replica to this host alone. The next confirmed table has a higher one, of a later era.

--- a/serving/loadcoordinator.cpp
+++ b/serving/loadcoordinator.cpp
@@ -223,7 +223,7 @@
     }
 }
 
-ReplicaOrders &LoadCoordinator::findOrCreateOrders(const ReplicaId &replica, const OwnerEntry &entry)
+ReplicaOrders &LoadCoordinator::findOrCreateOrders(const ReplicaId &replica, Epoch fencingNumber)
 {
     std::unique_ptr<ReplicaOrders> &orders = m_orders[replica];
     if (orders == nullptr) {
@@ -233,8 +233,7 @@
                                                      sendDueOrders();
                                                  });
         m_context.log.record(EventCode::ReplicaTakenOver, replica.text(),
-                             "fence " + std::to_string(entry.fencingNumber.value) + ", owner table at "
-                                 + m_position.text());
+                             "fence " + std::to_string(fencingNumber.value) + ", owner table at " + m_position.text());
     }
     return *orders;
 }
@@ -242,9 +241,9 @@
 void LoadCoordinator::sendDueOrder(const ReplicaId &replica)
 {
     const Millis now = m_context.clock.now();
-    const OwnerEntry *entry = m_owners.find(replica);
+    const std::optional<Epoch> fencingNumber = m_terms.fencingNumber(replica);
     const BackendState *state = m_context.backends.find(replica);
-    if (state == nullptr || !mayOrder(replica) || !state->isUsable() || now < state->avoidUntil
+    if (state == nullptr || !fencingNumber || !mayOrder(replica) || !state->isUsable() || now < state->avoidUntil
         || m_context.backends.isEvacuated(state->info.domain) || state->pause.isActive(now)) {
         return;
     }
@@ -252,7 +251,7 @@
     if (engine == nullptr) {
         return;
     }
-    ReplicaOrders &orders = findOrCreateOrders(replica, *entry);
+    ReplicaOrders &orders = findOrCreateOrders(replica, *fencingNumber);
     if (!orders.isDue(now)) {
         return;
     }
@@ -260,7 +259,7 @@
                                      *engine,
                                      m_context.versions,
                                      m_context.settings.host,
-                                     entry->fencingNumber,
+                                     *fencingNumber,
                                      mayLoadModel(engine->loadsPerSecond),
                                      m_transferPacer.mayStart(adapterLoads())};
     if (orders.sendNextOrder(orderContext, now)) {
--- a/serving/loadcoordinator.h
+++ b/serving/loadcoordinator.h
@@ -141,7 +141,7 @@
     bool mayOrder(const ReplicaId &replica) const;
     /** @return the orders of a replica, or nullptr. */
     ReplicaOrders *ordersOf(const ReplicaId &replica);
-    ReplicaOrders &findOrCreateOrders(const ReplicaId &replica, const OwnerEntry &entry);
+    ReplicaOrders &findOrCreateOrders(const ReplicaId &replica, Epoch fencingNumber);
     /** Sends the orders that are due for all replicas that this host owns, the most urgent first. */
     void sendDueOrders();
     /** Sends the next order to the replica if this host may and one is due. */
--- a/serving/loading/ownershipterms.cpp
+++ b/serving/loading/ownershipterms.cpp
@@ -2,6 +2,8 @@
 
 #include "serving/loading/ownertable.h"
 
+#include <algorithm>
+
 namespace vanillaspar::serving
 {
 
@@ -15,7 +17,7 @@
         if (entry.host != m_self) {
             continue;
         }
-        Term term {entry.assignedAs, now, false};
+        Term term {entry.assignedAs, entry.fencingNumber, now, false};
         const auto known = m_terms.find(replica);
         if (known != m_terms.end() && known->second.assignedAs == entry.assignedAs) {
             if (!isNewEra) {
@@ -24,6 +26,7 @@
                 term = known->second;
                 term.isContinued = true;
             }
+            term.fencingNumber = std::max(known->second.fencingNumber, entry.fencingNumber);
         }
         terms.emplace(replica, term);
     }
@@ -54,6 +57,12 @@
     return isConfirmed && (!entry->isTakeover || now - term->second.since > wait);
 }
 
+std::optional<Epoch> OwnershipTerms::fencingNumber(const ReplicaId &replica) const
+{
+    const auto term = m_terms.find(replica);
+    return term == m_terms.end() ? std::nullopt : std::optional<Epoch>(term->second.fencingNumber);
+}
+
 std::optional<Millis> OwnershipTerms::ownedSince(const ReplicaId &replica) const
 {
     const auto term = m_terms.find(replica);
--- a/serving/loading/ownershipterms.h
+++ b/serving/loading/ownershipterms.h
@@ -50,6 +50,11 @@
      * @return whether the previous owner's lease has expired, as far as this host has to wait for it.
      */
     bool hasBegun(const OwnerTable &table, const ReplicaId &replica, Millis wait, Millis now) const;
+    /**
+     * @return the fencing number for orders of this host: the table's, or the one by which it has ordered already if
+     * that is higher, as the table may have come back from a copy; nothing if this host doesn't own the replica.
+     */
+    std::optional<Epoch> fencingNumber(const ReplicaId &replica) const;
     /** @return since when this host has owned the replica, as far as it knows; nothing if it doesn't. */
     std::optional<Millis> ownedSince(const ReplicaId &replica) const;
 
@@ -58,6 +63,7 @@
     struct Term
     {
         Epoch assignedAs; ///< OwnerEntry::assignedAs.
+        Epoch fencingNumber; ///< The highest of any table with this assignment.
         Millis since; ///< When this host first saw itself as the owner.
         bool isContinued = false; ///< Whether it goes on ordering across a change of the era.
     };
--- a/tests/fakes/servingfleet.h
+++ b/tests/fakes/servingfleet.h
@@ -159,8 +159,8 @@
     int64_t arrivalsIn(const DomainId &domain, Millis from, Millis to) const;
     /** @return the owner of an engine, by the table in the store; the number of hosts if it has none. */
     size_t ownerOf(size_t engine) const;
-    /** @return the host that sent the last order to an engine in its incarnation; the number of hosts if none did. */
-    size_t lastIssuer(size_t engine) const;
+    /** @return the last order that reached an engine under its present id, or nullptr. */
+    const OrderSeen *lastOrder(size_t engine) const;
     /** @return the largest datagram that a host has sent, in bytes. */
     size_t largestDatagram() const
     {
--- a/tests/fakes/servingfleetowners.cpp
+++ b/tests/fakes/servingfleetowners.cpp
@@ -80,14 +80,10 @@
     return host;
 }
 
-size_t ServingFleet::lastIssuer(size_t engine) const
+const ServingFleet::OrderSeen *ServingFleet::lastOrder(size_t engine) const
 {
     const auto orders = m_orders.find(m_engines[engine]->id);
-    size_t host = 0;
-    while (host < m_hosts.size() && (orders == m_orders.end() || orders->second.back().issuer != hostId(host))) {
-        ++host;
-    }
-    return host;
+    return orders == m_orders.end() ? nullptr : &orders->second.back();
 }
 
 }
--- a/tests/serving/fencingnumbertest.cpp
+++ b/tests/serving/fencingnumbertest.cpp
@@ -1,6 +1,7 @@
 #include "tests/fakes/servingfleet.h"
 
 #include <gtest/gtest.h>
+#include <set>
 
 namespace vanillaspar::serving
 {
@@ -9,6 +10,7 @@
 {
 
 constexpr uint64_t seeds = 4;
+constexpr uint64_t seriesSeeds = 23;
 constexpr size_t hosts = 6;
 constexpr size_t engines = 4; ///< With fewer slots than there are adapters, so that each gets orders all the time.
 constexpr size_t none = hosts; ///< In place of a host.
@@ -26,14 +28,36 @@
     return setup;
 }
 
+/** @return the host that sent the last order to an engine; none if no host did. */
+size_t lastIssuer(const ServingFleet &fleet, size_t engine)
+{
+    const ServingFleet::OrderSeen *order = fleet.lastOrder(engine);
+    size_t host = 0;
+    while (host < hosts && (order == nullptr || order->issuer != ServingFleet::hostId(host))) {
+        ++host;
+    }
+    return host;
+}
+
+/** @return how many engines got orders since a time. */
+size_t orderedEngines(const ServingFleet &fleet, Millis from)
+{
+    size_t count = 0;
+    for (size_t engine = 0; engine < engines; ++engine) {
+        const ServingFleet::OrderSeen *order = fleet.lastOrder(engine);
+        count += order != nullptr && order->at >= from ? 1 : 0;
+    }
+    return count;
+}
+
 /** Plays until a host has ordered the engine. @return the host; none if no one did. */
 size_t waitForOrder(ServingFleet &fleet, size_t engine)
 {
     const Millis end = fleet.now() + ownerLimit;
-    while (fleet.lastIssuer(engine) == none && fleet.now() < end) {
+    while (fleet.lastOrder(engine) == nullptr && fleet.now() < end) {
         fleet.play(checkInterval);
     }
-    return fleet.lastIssuer(engine);
+    return lastIssuer(fleet, engine);
 }
 
 /** Kills all hosts but one and restores the store from before @p since; @p gone isn't started again. */
@@ -73,7 +97,7 @@
         restoreAndRestart(fleet, since, owner, none);
         fleet.play(takeoverLimit);
         EXPECT_EQ(fleet.misplacedOrders(), "") << "seed " << seed;
-        EXPECT_NE(fleet.lastIssuer(engine), owner) << "seed " << seed;
+        EXPECT_NE(lastIssuer(fleet, engine), owner) << "seed " << seed;
     }
 }
 
@@ -91,14 +115,117 @@
             fleet.play(checkInterval);
         }
         const Millis since = fleet.now() - checkInterval * 2;
-        while (fleet.lastIssuer(engine) == former) {
+        while (lastIssuer(fleet, engine) == former) {
             fleet.play(checkInterval);
         }
-        const size_t successor = fleet.lastIssuer(engine);
+        const size_t successor = lastIssuer(fleet, engine);
         restoreAndRestart(fleet, since, successor, none);
         fleet.play(takeoverLimit);
         EXPECT_EQ(fleet.misplacedOrders(), "") << "seed " << seed;
-        EXPECT_NE(fleet.lastIssuer(engine), successor) << "seed " << seed;
+        EXPECT_NE(lastIssuer(fleet, engine), successor) << "seed " << seed;
+    }
+}
+
+/** A drawn series of kills, restarts, cuts, new replicas and restores. */
+class Series
+{
+public:
+    Series(ServingFleet &fleet, uint64_t seed) : m_fleet(fleet), m_random(seed)
+    {
+    }
+    void play()
+    {
+        constexpr int steps = 8;
+        for (int i = 0; i < steps; ++i) {
+            const size_t host = m_random.below(hosts);
+            switch (m_random.below(8)) {
+            case 0:
+                m_fleet.killEngine(m_random.below(engines));
+                break;
+            case 1:
+                m_fleet.restartEngine(m_random.below(engines));
+                break;
+            case 2:
+                m_fleet.kill(host);
+                m_killed.insert(host);
+                break;
+            case 3:
+                m_fleet.setCut(host, true);
+                m_cut.insert(host);
+                break;
+            case 4:
+                restartKilled();
+                break;
+            case 5:
+                m_fleet.restoreStore(drawAge());
+                break;
+            default:
+                restartMost(host);
+                break;
+            }
+            m_fleet.play(Millis(static_cast<int64_t>(m_random.below(5000))));
+        }
+        restartKilled();
+        for (const size_t host : m_cut) {
+            m_fleet.setCut(host, false);
+        }
+    }
+
+private:
+    Millis drawAge()
+    {
+        return Millis(300 + static_cast<int64_t>(m_random.below(8000)));
+    }
+    void restartKilled()
+    {
+        for (const size_t host : m_killed) {
+            m_fleet.restart(host);
+        }
+        m_killed.clear();
+    }
+    /** Restarts all hosts, or all but one, while the store goes away and comes back once or twice. */
+    void restartMost(size_t survivor)
+    {
+        const bool hasSurvivor = m_random.below(2) == 0;
+        m_fleet.setStoreDown(true);
+        for (size_t host = 0; host < hosts; ++host) {
+            if (host != survivor || !hasSurvivor) {
+                m_fleet.kill(host);
+                m_killed.insert(host);
+            }
+        }
+        const uint64_t order = m_random.below(3);
+        if (order > 0) { // in the second case the store is back before the hosts are
+            restartKilled();
+        }
+        m_fleet.play(Millis(static_cast<int64_t>(m_random.below(1500))));
+        for (uint64_t i = 0; i <= m_random.below(2); ++i) {
+            m_fleet.restoreStore(drawAge());
+        }
+        m_fleet.setStoreDown(false);
+        m_fleet.play(Millis(static_cast<int64_t>(m_random.below(800))));
+        restartKilled();
+    }
+
+    ServingFleet &m_fleet;
+    Random m_random;
+    std::set<size_t> m_killed;
+    std::set<size_t> m_cut;
+};
+
+TEST(FencingNumber, SeriesOfRestartsAndRestores)
+{
+    // Guards against orders of two owners in any order of events: the store is back before, between and after the
+    // hosts, one of which may go on, engines are new, moved or back under their id, and several restores follow.
+    for (uint64_t seed = 1; seed <= seriesSeeds; ++seed) {
+        ServingFleet fleet(makeSetup(), seed);
+        fleet.play(Millis(static_cast<int64_t>(seed % 4) * 2500));
+        Series(fleet, seed).play();
+        fleet.play(takeoverLimit);
+        EXPECT_EQ(fleet.misplacedOrders(), "") << "seed " << seed;
+        for (size_t engine = 0; engine < engines; ++engine) {
+            EXPECT_NE(fleet.ownerOf(engine), none) << "seed " << seed;
+        }
     }
 }
 
--- a/tests/serving/ownershiptermstest.cpp
+++ b/tests/serving/ownershiptermstest.cpp
@@ -74,6 +74,21 @@
     EXPECT_TRUE(mayOrder(start + Millis(300))) << "the era rose twice before the host saw it";
 }
 
+TEST_F(OwnershipTermsTest, AnOwnerKeepsItsNumberWhenASecondRestoreTakesTheConfirmedTableBack)
+{
+    // Guards against an owner that goes on with the lower number of the copy, until the table is confirmed once more.
+    read(m_table, 0, start);
+    read(m_confirmed, 1, start + Millis(100));
+    const Epoch ordered = *m_terms.fencingNumber(ReplicaId("r0"));
+    EXPECT_EQ(ordered, m_confirmed.find(ReplicaId("r0"))->fencingNumber);
+    read(m_table, 2, start + Millis(200));
+    EXPECT_TRUE(mayOrder(start + Millis(200)));
+    EXPECT_EQ(*m_terms.fencingNumber(ReplicaId("r0")), ordered);
+    m_table.confirm(2, m_table.nextFencingNumber({2, 35}));
+    read(m_table, 2, start + Millis(300));
+    EXPECT_GT(*m_terms.fencingNumber(ReplicaId("r0")), ordered);
+}
+
 TEST_F(OwnershipTermsTest, AnOwnerThatLostTheReplicaMeanwhileWaits)
 {
     // Guards against an owner that goes on by an assignment of which a restore has made another one.
