Let new owners wait after a restore also if no owner table is left

Two hosts order an engine in turn, the later one with a lower fencing number (ONE). Cause: after a restore the leader marks new entries as takeovers, so that their owners wait for leases by a table that was lost. It didn't do so if the copy had no table and its own process knew of none: "without a table no host can order". The copy may be from before the first table, though, and all hosts that knew it restarted but one, which is cut off and orders until its lease ends. Change: within the wait after it first read an era above 0 every assignment is a takeover. Test: FencingNumber.AHostThatKnowsNoTableWaitsForOwnersOfALostOne.

--- a/serving/loadcoordinator.cpp
+++ b/serving/loadcoordinator.cpp
@@ -90,11 +90,9 @@
 {
     const int64_t era = m_context.coordination.position().era;
     if (era != m_era) {
-        m_hasSeenRestore = m_hasSeenRestore || m_isEraKnown;
         m_era = era;
         m_eraSeenAt = m_context.clock.now();
     }
-    m_isEraKnown = m_context.coordination.isLoaded();
 }
 
 void LoadCoordinator::updateFreshness()
@@ -478,10 +476,9 @@
     const Epoch number = m_owners.nextFencingNumber(std::max(expected, m_context.coordination.position()));
     OwnerTable next = m_owners;
     const bool isConfirmed = next.confirm(m_era, number);
-    // A host that missed the restore may order replicas by a table that was lost, until its lease expires.
-    // Without a table no host can order, unless this host has seen an earlier era in which there was one.
-    const bool hasPastTable = known != m_context.coordination.records().end() || m_hasSeenRestore;
-    const bool isEachTakeover = m_era > 0 && hasPastTable && now - m_eraSeenAt <= takeoverWait();
+    // A host that missed the restore may order replicas by a table that was lost, until its lease expires. That no
+    // table is left doesn't show that there was none.
+    const bool isEachTakeover = m_era > 0 && now - m_eraSeenAt <= takeoverWait();
     const bool isAssigned = next.assign(number, replicasNeedingOwner(), liveHubs(), lostOwners(), isEachTakeover);
     if (!isAssigned && !isConfirmed) {
         return;
--- a/serving/loadcoordinator.h
+++ b/serving/loadcoordinator.h
@@ -177,8 +177,6 @@
     std::map<ReplicaId, std::unique_ptr<ReplicaOrders>> m_orders;
     OwnershipTerms m_terms;
     int64_t m_era = 0; ///< Of the coordination records.
-    bool m_isEraKnown = false; ///< Whether the coordination records were read in any era.
-    bool m_hasSeenRestore = false; ///< Whether this host read them in an earlier era.
     Millis m_eraSeenAt; ///< When this host first read the coordination records in that era.
     std::map<std::pair<ReplicaId, std::string>, Millis> m_requestedAt; ///< Adapters requested recently.
     std::set<ReplicaId> m_reportedReplicas; ///< Replicas in the last use reports.
--- a/tests/serving/fencingnumbertest.cpp
+++ b/tests/serving/fencingnumbertest.cpp
@@ -126,6 +126,26 @@
     }
 }
 
+TEST(FencingNumber, AHostThatKnowsNoTableWaitsForOwnersOfALostOne)
+{
+    // Guards against two owners after a restore from before the first table: the hosts that start find no table, and
+    // one that is cut off still orders by the lost one.
+    for (uint64_t seed = 1; seed <= seeds; ++seed) {
+        ServingFleet fleet(makeSetup(), seed);
+        const Millis since = fleet.now() - Millis(5500); // before the first table, 6 s after the start of all
+        const size_t owner = waitForOrder(fleet, seed % engines);
+        fleet.setCut(owner, true);
+        restoreAndRestart(fleet, since, none, owner);
+        fleet.play(takeoverLimit);
+        EXPECT_EQ(fleet.misplacedOrders(), "") << "seed " << seed;
+        fleet.setCut(owner, false);
+        const Millis from = fleet.now();
+        fleet.play(takeoverLimit);
+        EXPECT_EQ(fleet.misplacedOrders(), "") << "seed " << seed;
+        EXPECT_EQ(orderedEngines(fleet, from), engines) << "seed " << seed;
+    }
+}
+
 /** A drawn series of kills, restarts, cuts, new replicas and restores. */
 class Series
 {
