Keep the owner of a replica that the leader doesn't know for a moment

Two hosts order an engine in turn within half a second (ONE): "i-6 at 1029085: h101 with fencing number 550 ms after h103". Cause: a change of the owner table removed the entries of all replicas that the leader didn't know. A host that had been cut off became the leader and read the owner table before the list of replicas, in which a new one had come meanwhile. Without the entry nothing told that the replica had an owner, and the one that the next leader gave it didn't wait for the first one's lease. No restore is needed for that. Ruled out: the fencing numbers, which rose; the wait itself, which wasn't asked for (the entry said no takeover). Change: an entry is removed only once its replica has been missing for the wait after a takeover, at every look of this leader (AbsentReplicas). A host that still knows the replica by then has lost its lease.

--- a/serving/loadcoordinator.cpp
+++ b/serving/loadcoordinator.cpp
@@ -474,12 +474,14 @@
     const StorePosition expected
         = known == m_context.coordination.records().end() ? StorePosition() : known->second.position;
     const Epoch number = m_owners.nextFencingNumber(std::max(expected, m_context.coordination.position()));
+    const std::vector<DomainMember> replicas = replicasNeedingOwner();
     OwnerTable next = m_owners;
+    next.remove(m_absentReplicas.update(m_owners, replicas, takeoverWait(), now));
     const bool isConfirmed = next.confirm(m_era, number);
     // A host that missed the restore may order replicas by a table that was lost, until its lease expires. That no
     // table is left doesn't show that there was none.
     const bool isEachTakeover = m_era > 0 && now - m_eraSeenAt <= takeoverWait();
-    const bool isAssigned = next.assign(number, replicasNeedingOwner(), liveHubs(), lostOwners(), isEachTakeover);
+    const bool isAssigned = next.assign(number, replicas, liveHubs(), lostOwners(), isEachTakeover);
     if (!isAssigned && !isConfirmed) {
         return;
     }
--- a/serving/loadcoordinator.h
+++ b/serving/loadcoordinator.h
@@ -5,6 +5,7 @@
 #include "core/units.h"
 #include "policy/transferpacer.h"
 #include "serving/interfaces/storeposition.h"
+#include "serving/loading/absentreplicas.h"
 #include "serving/loading/ownershipterms.h"
 #include "serving/loading/ownertable.h"
 
@@ -186,6 +187,7 @@
     Millis m_modelLoadAt; ///< Last order of a base model; at first the start, as this host's last process may have sent
                           ///< one.
     Millis m_assignedAt {INT64_MIN / 2}; ///< When this host last changed the table.
+    AbsentReplicas m_absentReplicas;
     bool m_isAssigning = false;
 };
 
--- a/serving/loading/ownertable.cpp
+++ b/serving/loading/ownertable.cpp
@@ -79,6 +79,13 @@
     return !m_entries.empty();
 }
 
+void OwnerTable::remove(const std::set<ReplicaId> &replicas)
+{
+    for (const ReplicaId &replica : replicas) {
+        m_entries.erase(replica);
+    }
+}
+
 bool OwnerTable::assign(Epoch number, const std::vector<DomainMember> &replicas,
                         const std::vector<DomainMember> &liveHosts, const std::vector<HostId> &lostHosts,
                         bool isEachTakeover)
@@ -104,12 +111,6 @@
     if (unowned.empty()) {
         return false;
     }
-    for (auto entry = m_entries.begin(); entry != m_entries.end();) {
-        const bool isKnown = std::any_of(replicas.begin(), replicas.end(), [&](const DomainMember &replica) {
-            return replica.id == entry->first.text();
-        });
-        entry = isKnown ? std::next(entry) : m_entries.erase(entry);
-    }
     m_lastFencingNumber = number;
     for (const DomainMember *replica : unowned) {
         const DomainMember &chosen
--- a/serving/loading/ownertable.h
+++ b/serving/loading/ownertable.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <nlohmann/json_fwd.hpp>
+#include <set>
 #include <vector>
 
 namespace vanillaspar::serving
@@ -58,8 +59,8 @@
      * Assigns an owner to every replica that has none or whose owner is lost.
      *
      * The new owner is the live host with the fewest replicas; ties go to a host in the replica's failure domain. Other
-     * replicas keep their owner, since a change leaves a replica without orders for seconds. If any replica is
-     * assigned, entries of replicas that aren't in @p replicas are removed.
+     * replicas keep their owner, since a change leaves a replica without orders for seconds. Entries of replicas that
+     * aren't in @p replicas stay.
      *
      * @param number nextFencingNumber() at the position at which the table is replaced.
      * @param replicas all replicas that take orders.
@@ -70,6 +71,8 @@
      */
     bool assign(Epoch number, const std::vector<DomainMember> &replicas, const std::vector<DomainMember> &liveHosts,
                 const std::vector<HostId> &lostHosts, bool isEachTakeover = false);
+    /** Removes the entries of replicas. */
+    void remove(const std::set<ReplicaId> &replicas);
     /**
      * Confirms a table of an earlier era: every owner stays, counts as having taken over, and gets a new fencing
      * number, as a table that was lost may have issued higher ones than this one has.
--- a/tests/serving/fencingnumbertest.cpp
+++ b/tests/serving/fencingnumbertest.cpp
@@ -10,7 +10,7 @@
 {
 
 constexpr uint64_t seeds = 4;
-constexpr uint64_t seriesSeeds = 23;
+constexpr uint64_t seriesSeeds = 24;
 constexpr size_t hosts = 6;
 constexpr size_t engines = 4; ///< With fewer slots than there are adapters, so that each gets orders all the time.
 constexpr size_t none = hosts; ///< In place of a host.
--- a/tests/serving/ownertabletest.cpp
+++ b/tests/serving/ownertabletest.cpp
@@ -2,6 +2,7 @@
 
 #include "core/error.h"
 #include "serving/interfaces/storeposition.h"
+#include "serving/loading/absentreplicas.h"
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
@@ -54,6 +55,45 @@
         << "every replica already has a live owner";
 }
 
+TEST(OwnerTable, AReplicaThatIsNotKnownForAMomentKeepsItsOwner)
+{
+    // Guards against a second owner that doesn't wait for the lease of the first one, as nothing tells of that any
+    // more.
+    OwnerTable table;
+    ASSERT_TRUE(table.assign(Epoch(1), replicas(2), {{"h1", DomainId("a")}}, {}));
+    std::vector<DomainMember> known {replicas(3)[0], replicas(3)[2]}; // r2 is new, r1 isn't known
+    ASSERT_TRUE(table.assign(Epoch(2), known, {{"h1", DomainId("a")}}, {}));
+    ASSERT_NE(table.find(ReplicaId("r1")), nullptr);
+    ASSERT_TRUE(table.assign(Epoch(3), replicas(3), {{"h2", DomainId("a")}}, {HostId("h1")}));
+    EXPECT_TRUE(table.find(ReplicaId("r1"))->isTakeover);
+    table.remove({ReplicaId("r1")});
+    EXPECT_EQ(table.find(ReplicaId("r1")), nullptr);
+}
+
+TEST(AbsentReplicas, AreRemovedOnceTheyWereMissingForTheWholeTime)
+{
+    // Guards against an entry that a host removes because it was cut off or led only now and then.
+    constexpr Millis retention(10300);
+    OwnerTable table;
+    ASSERT_TRUE(table.assign(Epoch(1), replicas(2), {{"h1", DomainId("a")}}, {}));
+    AbsentReplicas absent;
+    Millis now(100000);
+    const auto missingAfter = [&](int64_t steps) {
+        std::set<ReplicaId> removable;
+        for (int64_t i = 0; i < steps; ++i) {
+            now += Millis(500);
+            removable = absent.update(table, replicas(1), retention, now);
+        }
+        return removable;
+    };
+    EXPECT_TRUE(missingAfter(21).empty());
+    EXPECT_EQ(missingAfter(1), std::set<ReplicaId> {ReplicaId("r1")});
+    absent.update(table, replicas(2), retention, now);
+    EXPECT_TRUE(missingAfter(21).empty()) << "it was there in between";
+    now += retention;
+    EXPECT_TRUE(missingAfter(1).empty()) << "nobody looked in between";
+}
+
 TEST(OwnerTable, SurvivesTheStore)
 {
     OwnerTable table;
