Make the judge of orders compile with clang, and drop a constant that isn't used

Cause: clang-tidy's compiler takes no structured binding into a lambda. Change: a function describes an order. No check changes.

--- a/tests/fakes/servingfleetowners.cpp
+++ b/tests/fakes/servingfleetowners.cpp
@@ -8,6 +8,17 @@
 namespace vanillaspar::serving
 {
 
+namespace
+{
+
+std::string describe(const ReplicaId &replica, const ServingFleet::OrderSeen &order, const std::string &fault)
+{
+    return replica.text() + " at " + std::to_string(order.at.value) + ": " + order.issuer.text()
+        + " with fencing number " + std::to_string(order.fencingNumber.value) + " " + fault + "\n";
+}
+
+}
+
 void ServingFleet::kill(size_t number)
 {
     for (const auto &engine : m_engines) {
@@ -40,26 +51,21 @@
     std::string found;
     for (const auto &[replica, orders] : m_orders) {
         std::map<Epoch, HostId> issuers;
-        for (size_t i = 0; i < orders.size(); ++i) {
-            const OrderSeen &order = orders[i];
+        const OrderSeen *last = nullptr;
+        for (const OrderSeen &order : orders) {
             const HostId &issuer = issuers.emplace(order.fencingNumber, order.issuer).first->second;
-            const auto describe = [&](const std::string &fault) {
-                found += replica.text() + " at " + std::to_string(order.at.value) + ": " + order.issuer.text()
-                    + " with fencing number " + std::to_string(order.fencingNumber.value) + " " + fault + "\n";
-            };
             if (issuer != order.issuer) {
-                describe("of " + issuer.text());
-            }
-            if (i == 0) {
-                continue;
+                found += describe(replica, order, "of " + issuer.text());
             }
-            const OrderSeen &last = orders[i - 1];
-            if (order.fencingNumber < last.fencingNumber) {
-                describe("after " + std::to_string(last.fencingNumber.value) + " of " + last.issuer.text());
+            if (last != nullptr && order.fencingNumber < last->fencingNumber) {
+                found += describe(replica, order,
+                                  "after " + std::to_string(last->fencingNumber.value) + " of " + last->issuer.text());
             }
-            if (order.issuer != last.issuer && order.at - last.at < orderLease) {
-                describe(std::to_string((order.at - last.at).value) + " ms after " + last.issuer.text());
+            if (last != nullptr && order.issuer != last->issuer && order.at - last->at < orderLease) {
+                found += describe(replica, order,
+                                  std::to_string((order.at - last->at).value) + " ms after " + last->issuer.text());
             }
+            last = &order;
         }
     }
     return found;
--- a/tests/serving/fencingnumbertest.cpp
+++ b/tests/serving/fencingnumbertest.cpp
@@ -250,7 +250,6 @@
 {
     // Guards against orders of two owners in any order of events: the store is back before, between and after the
     // hosts, one of which may go on, engines are new, moved or back under their id, and several restores follow.
-    constexpr Millis latestStart(7500);
     ServingFleet fleet(makeSetup(), GetParam());
     fleet.play(Millis(static_cast<int64_t>(GetParam() % 4) * 2500)); // the age of the first table varies
     Series(fleet, GetParam()).play();
