--- a/serving/loadcoordinator.cpp
+++ b/serving/loadcoordinator.cpp
@@ -88,9 +88,8 @@
 
 void LoadCoordinator::updateEra()
 {
-    const int64_t era = m_context.coordination.position().era;
-    if (era != m_era) {
-        m_era = era;
+    if (m_context.coordination.position().era != m_era) {
+        m_era = m_context.coordination.position().era;
         m_eraSeenAt = m_context.clock.now();
     }
 }
@@ -481,8 +480,7 @@
     // A host that missed the restore may order replicas by a table that was lost, until its lease expires. That no
     // table is left doesn't show that there was none.
     const bool isEachTakeover = m_era > 0 && now - m_eraSeenAt <= takeoverWait();
-    const bool isAssigned = next.assign(number, replicas, liveHubs(), lostOwners(), isEachTakeover);
-    if (!isAssigned && !isConfirmed) {
+    if (!next.assign(number, replicas, liveHubs(), lostOwners(), isEachTakeover) && !isConfirmed) {
         return;
     }
     m_isAssigning = true;
