--- a/review/kit3/kit3.py
+++ b/review/kit3/kit3.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import ctypes
 import json
 import os
 import random
@@ -276,7 +277,13 @@
     return text
 
 
-def limit_descriptors():
+PR_SET_PDEATHSIG = 1
+LIBC = ctypes.CDLL(None, use_errno=True)
+
+
+def prepare_process():
+    """Ends with this program, also if that is killed; has the descriptors of a machine."""
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
     hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
     most = MAX_FDS if hard == resource.RLIM_INFINITY else min(MAX_FDS, hard)
     resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
@@ -310,7 +317,7 @@
     def start(self):
         with open(self.log, "ab") as log:
             self.process = subprocess.Popen([str(PROGRAM), "--settings", str(self.path)], stdin=subprocess.DEVNULL,
-                                            stdout=log, stderr=log, cwd=ROOT, preexec_fn=limit_descriptors)
+                                            stdout=log, stderr=log, cwd=ROOT, preexec_fn=prepare_process)
         self.record.note(f"host {self.name} starts, pid {self.process.pid}")
 
     def signal(self, number):
