--- a/serving/dispatcher.cpp
+++ b/serving/dispatcher.cpp
@@ -30,7 +30,6 @@
 constexpr Millis noReplicaRetry(1000);
 constexpr size_t maxEventBytes = 1024UL * 1024; // of a resumable stream; events hold a few tokens
 constexpr size_t maxIncompleteBytes = 16UL * 1024 * 1024; // of all streams together, a tenth of a small host's memory
-constexpr int firstServerError = 500;
 
 }
 
@@ -272,13 +271,12 @@
         m_tracker.onOutcome(*active, reasonNotExecuted(head, active->isEngine));
         return;
     }
-    const bool isSuccess = head.head.isSuccess();
     if (!head.isSigned) {
         // A working replica signs its responses. This one is dropped, and the attempt may have been executed.
         breakOff(*active);
         return;
     }
-    if (!isSuccess && head.head.status >= firstServerError && active->mayRunElsewhere()) {
+    if (active->withholdsFailure(head)) {
         m_tracker.onOutcome(*active, AttemptOutcome::Failed);
         return;
     }
@@ -291,7 +289,7 @@
         return;
     }
     active->beginResponse(head.head, m_context.clock.now());
-    m_tracker.onForwarded(*active, isSuccess);
+    m_tracker.onForwarded(*active, head.head.isSuccess());
     if (active->isResumable) {
         head.head.hasLength = false; // another replica may go on with another length
     }
@@ -415,13 +413,13 @@
 
 void Dispatcher::onResponseLost(ActiveRequest &active)
 {
+    const std::string why
+        = active.outcome == AttemptOutcome::Failed ? "the replica failed the request" : "the replica's answer was lost";
     if (recordPossibleRun(active) && active.isRetryable() && !m_context.prompts.isSuspect(active.request)) {
-        retryOrRefuse(active, true, RefusalCode::OutcomeUnknown,
-                      active.outcome == AttemptOutcome::Failed ? "the replica failed the request"
-                                                               : "the replica's answer was lost");
+        retryOrRefuse(active, true, RefusalCode::OutcomeUnknown, why);
         return;
     }
-    refuse(active, outcomeUnknown("the replica's answer was lost"));
+    refuse(active, outcomeUnknown(why));
 }
 
 void Dispatcher::retryOrRefuse(ActiveRequest &active, bool countsAsRetry, RefusalCode code, const std::string &why)
--- a/serving/interfaces/attemptsender.h
+++ b/serving/interfaces/attemptsender.h
@@ -33,6 +33,7 @@
     bool isMisdirected = false; ///< The weights aren't resident, or another server uses the address.
     bool isWrongServer = false; ///< Another server uses the address.
     std::optional<int64_t> weightsVersion = std::nullopt; ///< On which the replica answers, if it says so.
+    bool promisesNotRun = false; ///< Whether callers take the status as proof that the request was not executed.
 };
 
 /** Sends requests to replicas. Responses go to an AttemptListener. */
--- a/serving/queueing/activerequest.cpp
+++ b/serving/queueing/activerequest.cpp
@@ -22,6 +22,7 @@
 // A replica that crashes on the start of an answer may still send the events of its first steps.
 constexpr const char *eventStream = "text/event-stream";
 constexpr int firstRedirect = 300;
+constexpr int firstServerError = 500;
 constexpr Millis startTime(400);
 constexpr int64_t startEvents = 5;
 
@@ -67,6 +68,16 @@
     return static_cast<double>(stableHash(request.id.text()) % parts) / static_cast<double>(parts);
 }
 
+bool ActiveRequest::withholdsFailure(const AttemptHead &head) const
+{
+    if (head.head.isSuccess()) {
+        return false;
+    }
+    // The caller would repeat a request that may be executed once and has been.
+    const bool isFalsePromise = head.promisesNotRun && !isRetryable();
+    return isFalsePromise || (head.head.status >= firstServerError && mayRunElsewhere());
+}
+
 bool ActiveRequest::isContinuedBy(const HttpHead &head) const
 {
     return head.status == answerStatus && contentTypeOf(head) == answerType;
--- a/serving/queueing/activerequest.h
+++ b/serving/queueing/activerequest.h
@@ -122,6 +122,8 @@
     {
         return isRetryable() && static_cast<int>(mayHaveRunOn.size()) + 1 < maxReplicas;
     }
+    /** @return whether the signed answer of a replica that has executed it is a failure that isn't forwarded. */
+    bool withholdsFailure(const AttemptHead &head) const;
     /** @return whether it may be executed more than once. */
     bool isRetryable() const
     {
