A replica's end is confirmed by asking it for a report

Cause: a connection that ended counted as the end of its replica unless the replica sent this host something else within 200 ms. A short answer that ends with its connection never counted as progress and, at a quiet replica, always as an end.

Change: ReplicaEnds keeps broken attempts until it is known what became of their replica. Fakes' engines that are down no longer report.

--- a/serving/guards/promptguard.cpp
+++ b/serving/guards/promptguard.cpp
@@ -18,9 +18,6 @@
 namespace
 {
 
-// A replica that still answers others after this time has lost a connection and hasn't ended.
-constexpr Millis confirmTime(200);
-constexpr Millis answersInTransit(50); // which may arrive after the replica's end
 constexpr Millis decisionInterval(50);
 constexpr int64_t suspectWeight = 2;
 constexpr Millis repeatTime(2000); // for which news is repeated, as datagrams may be lost
@@ -52,7 +49,7 @@
 }
 
 PromptGuard::PromptGuard(const Clock &clock, BackendTable &backends, EventLog &log, Random &random)
-    : m_clock(clock), m_backends(backends), m_log(log), m_random(random)
+    : m_clock(clock), m_backends(backends), m_log(log), m_random(random), m_ends(clock, backends)
 {
 }
 
@@ -126,20 +123,24 @@
         return;
     }
     onEnded(active);
-    const Millis now = m_clock.now();
-    if (!active.request.promptParts.empty()) {
-        m_crashRate.onProgressed(active.attemptAnsweredAt, now);
+    addProgress(suspectsOf(active.request), active.attemptAnsweredAt);
+}
+
+void PromptGuard::addProgress(const std::vector<PromptPartId> &parts, Millis begunAt)
+{
+    if (!parts.empty()) {
+        m_crashRate.onProgressed(begunAt, m_clock.now());
     }
-    for (const PromptPartId &part : suspectsOf(active.request)) {
-        m_history.onProgressed(part, active.attemptAnsweredAt);
-        clearPart(part, active.attemptAnsweredAt, clearanceHops);
+    for (const PromptPartId &part : parts) {
+        m_history.onProgressed(part, begunAt);
+        clearPart(part, begunAt, clearanceHops);
     }
 }
 
 void PromptGuard::onCompleted(ActiveRequest &active)
 {
     if (active.endsWithConnection) {
-        onBroken(active); // the replica may have ended between two events
+        addBroken(active, true); // the replica may have ended between two events
     } else {
         onProgressed(active);
     }
@@ -157,16 +158,16 @@
     }
 }
 
-void PromptGuard::onBroken(const ActiveRequest &active)
+void PromptGuard::addBroken(const ActiveRequest &active, bool isWhole)
 {
     const BackendState *state = m_backends.find(active.replica);
     if (active.isStarting && state != nullptr && !active.request.promptParts.empty()) {
-        m_broken.push_back(
-            {active.replica, state->info.residency.incarnation, m_clock.now(), suspectsOf(active.request)});
+        m_ends.add({active.replica, state->info.residency.incarnation, m_clock.now(), active.attemptAnsweredAt,
+                    active.isEngine, isWhole, suspectsOf(active.request)});
     }
 }
 
-void PromptGuard::addCrash(const Broken &broken)
+void PromptGuard::addCrash(const BrokenAttempt &broken)
 {
     const Millis now = m_clock.now();
     const BackendState *state = m_backends.find(broken.replica);
@@ -198,16 +199,15 @@
 void PromptGuard::tick()
 {
     const Millis now = m_clock.now();
-    while (!m_broken.empty() && now - m_broken.front().at >= confirmTime) {
-        const Broken broken = std::move(m_broken.front());
-        m_broken.erase(m_broken.begin());
-        const BackendState *state = m_backends.find(broken.replica);
-        const bool isAlive = state != nullptr && state->info.residency.incarnation == broken.incarnation
-            && state->aliveAt > broken.at + answersInTransit;
-        if (!isAlive) {
-            addCrash(broken);
+    const ReplicaEnds::Decided decided = m_ends.update();
+    for (const BrokenAttempt &attempt : decided.alive) {
+        if (attempt.isWhole) {
+            addProgress(attempt.parts, attempt.begunAt);
         }
     }
+    for (const BrokenAttempt &attempt : decided.ended) {
+        addCrash(attempt);
+    }
     if (now - m_decidedAt < decisionInterval) {
         return;
     }
--- a/serving/guards/promptguard.h
+++ b/serving/guards/promptguard.h
@@ -6,6 +6,7 @@
 #include "policy/crashrate.h"
 #include "policy/partshistory.h"
 #include "serving/guards/blockedparts.h"
+#include "serving/guards/replicaends.h"
 
 #include <cstdint>
 #include <map>
@@ -26,6 +27,7 @@
 {
 
 class BackendTable;
+class OrderPort;
 struct ActiveRequest;
 struct ClientRequest;
 
@@ -41,6 +43,11 @@
     /** @param random draws the numbers of blocks. */
     PromptGuard(const Clock &clock, BackendTable &backends, EventLog &log, Random &random);
 
+    /** Sets what asks silent engines for a report before their end counts. */
+    void setReports(OrderPort *reports)
+    {
+        m_ends.setReports(reports);
+    }
     /** @return the first blocked part of a request's prompt; nothing if it has none. */
     std::optional<PromptPartId> findBlocked(const ClientRequest &request) const;
     /** @return why a request must not be sent, or nothing. */
@@ -57,7 +64,10 @@
     /** An answer has ended as whole; to be called before onEnded(). */
     void onCompleted(ActiveRequest &active);
     /** The connection of an attempt ended within the answer; to be called before onEnded(). */
-    void onBroken(const ActiveRequest &active);
+    void onBroken(const ActiveRequest &active)
+    {
+        addBroken(active, false);
+    }
     /** An attempt has ended in any way. */
     void onEnded(ActiveRequest &active);
     /** Confirms the ends of replicas and blocks parts; to be called every few milliseconds. */
@@ -82,14 +92,6 @@
     }
 
 private:
-    /** A request that had not progressed when its connection ended. */
-    struct Broken
-    {
-        ReplicaId replica;
-        int64_t incarnation = 0;
-        Millis at;
-        std::vector<PromptPartId> parts; ///< The request itself comes last.
-    };
     /** A clearance that other hosts are to be told of. */
     struct Clearance
     {
@@ -99,8 +101,12 @@
     };
 
     Millis countedUntil() const;
+    /** Waits until it is known whether the replica has ended. @param isWhole whether the answer may be complete. */
+    void addBroken(const ActiveRequest &active, bool isWhole);
     /** Takes a request's end with its replica as evidence. */
-    void addCrash(const Broken &broken);
+    void addCrash(const BrokenAttempt &broken);
+    /** Takes an answer that has progressed as a control, and as proof for its parts. */
+    void addProgress(const std::vector<PromptPartId> &parts, Millis begunAt);
     void clearPart(const PromptPartId &part, Millis begunAt, int hops);
     void blockCrashingParts();
     /** Blocks a part that this host has found. @param why the conclusion, for the log. */
@@ -116,7 +122,7 @@
     CrashRate m_crashRate;
     PartsHistory m_history;
     BlockedParts m_blocked;
-    std::vector<Broken> m_broken; ///< In order of time, until it is known whether the replica has ended.
+    ReplicaEnds m_ends;
     std::map<PromptPartId, int64_t> m_starting; ///< Attempts that have yet to progress.
     std::map<PromptPartId, Clearance> m_clearances;
     Millis m_decidedAt {0};
--- a/serving/servingnode.cpp
+++ b/serving/servingnode.cpp
@@ -86,6 +86,7 @@
     , m_startedAt(m_ports.clock.now())
 {
     m_chooser.setLatencies(m_latencies);
+    m_prompts.setReports(&m_ports.orders);
     setSettings(m_settings);
     m_relay.setMirrors({{Collection::Configuration, &m_configuration},
                         {Collection::Backends, &m_backendRecords},
--- a/tests/fakes/servingfleet.cpp
+++ b/tests/fakes/servingfleet.cpp
@@ -21,7 +21,6 @@
 constexpr Millis downTime(3000); // of an engine that has ended
 constexpr Millis entryLifetime(3600); // of a silent engine in service discovery
 constexpr Millis eventInterval(40);
-constexpr int64_t eventsPerAnswer = 14;
 constexpr size_t firstParts = 3;
 constexpr size_t subjects = 200;
 constexpr double millisPerSecond = 1000;
@@ -93,8 +92,12 @@
     }
     void fetchReport(const Backend &backend, std::function<void(std::optional<EngineResidency>)> handler) override
     {
-        handlers.push_back([handler, residency = backend.residency] {
-            handler(residency);
+        handlers.push_back([this, handler, id = backend.id, residency = backend.residency] {
+            const bool isRunning
+                = std::any_of(m_fleet.m_engines.begin(), m_fleet.m_engines.end(), [&id](const auto &each) {
+                      return each->isRunning && each->id == id;
+                  });
+            handler(isRunning ? std::optional(residency) : std::nullopt);
         });
     }
 
@@ -327,11 +330,13 @@
         Dispatcher &dispatcher = host.node->dispatcher();
         const bool begins = run.events < 0;
         if (begins && run.isCrashing) {
-            engine.crashAt = now + Millis(40 + static_cast<int64_t>(m_random.below(60)));
+            const Millis drawn(40 + static_cast<int64_t>(m_random.below(60)));
+            engine.crashAt = now + (m_setup.crashDelay.value > 0 ? m_setup.crashDelay : drawn);
         }
         if (begins && (!run.isCrashing || m_setup.hasHead)) {
             HttpHead head;
             head.status = statusOk;
+            head.endsWithConnection = m_setup.isUnframed;
             head.headers = {{"Content-Type", "text/event-stream"}};
             dispatcher.onAttemptHead(run.attempt, {head, true, false, false, false});
         }
@@ -339,7 +344,7 @@
             continue;
         }
         dispatcher.onAttemptBody(run.attempt, "id: " + std::to_string(run.events + 2) + "\ndata: x\n\n");
-        if (run.events + 2 >= eventsPerAnswer) {
+        if (run.events + 2 >= m_setup.events) {
             std::erase_if(engine.runs, [&](const Run &each) {
                 return each.host == run.host && each.attempt == run.attempt;
             });
@@ -363,8 +368,10 @@
     ClientRequest request = makeRequest(exchange, m_setup.target + "x", "m/a1", m_clock.now());
     request.key = "key" + std::to_string(isCrashing ? 0 : team);
     request.promptParts = {PromptPartId("f" + std::to_string(first)), PromptPartId("e" + request.key.substr(3)),
-                           isCrashing ? crashingPart() : PromptPartId("b" + std::to_string(subject)),
-                           PromptPartId("a" + std::to_string(exchange))};
+                           PromptPartId("b" + std::to_string(subject)), PromptPartId("a" + std::to_string(exchange))};
+    if (isCrashing) {
+        request.promptParts[m_setup.crashingPlace] = crashingPart();
+    }
     if (isCrashing && m_setup.isSameRequest) {
         request.promptParts = {PromptPartId("f0"), PromptPartId("e0"), PromptPartId("b1"), crashingPart()};
     } else if (!isCrashing && m_random.unit() < m_setup.popularShare) {
--- a/tests/fakes/servingfleet.h
+++ b/tests/fakes/servingfleet.h
@@ -36,6 +36,10 @@
     bool isRelaying = false; ///< Whether hosts read the store's records from hubs.
     size_t hostsWithoutRelay = 0; ///< The first so many hosts are of a build without it.
     bool hasHead = true; ///< Whether a replica sends the start of an answer before it crashes on it.
+    Millis crashDelay {0}; ///< From the start of an answer with the crashing part to the crash; 0 for 40 to 100 ms.
+    size_t crashingPlace = 2; ///< Of the crashing part among the first three parts of a prompt.
+    int64_t events = 14; ///< Of an answer.
+    bool isUnframed = false; ///< Whether answers have neither a length nor chunks and end with their connection.
 };
 
 /**
