--- a/core/eventcode.cpp
+++ b/core/eventcode.cpp
@@ -41,6 +41,7 @@
         {EventCode::PromptPartSuspected, Severity::Warning, "prompt-part-suspected"},
         {EventCode::PromptPartBlocked, Severity::Warning, "prompt-part-blocked"},
         {EventCode::PromptPartLifted, Severity::Info, "prompt-part-lifted"},
+        {EventCode::PromptPartRestricted, Severity::Warning, "prompt-part-restricted"},
         {EventCode::AdapterLoaded, Severity::Info, "adapter-loaded"},
         {EventCode::AdapterUnloaded, Severity::Info, "adapter-unloaded"},
         {EventCode::LoadFailed, Severity::Warning, "load-failed"},
--- a/core/eventcode.h
+++ b/core/eventcode.h
@@ -42,6 +42,7 @@
     PromptPartSuspected = 406,
     PromptPartBlocked = 407,
     PromptPartLifted = 408,
+    PromptPartRestricted = 409,
     AdapterLoaded = 410,
     AdapterUnloaded = 411,
     LoadFailed = 412,
--- a/policy/crashevidence.cpp
+++ b/policy/crashevidence.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <set>
 
 namespace vanillaspar
@@ -14,7 +15,7 @@
 {
 
 constexpr size_t maxParts = 256;
-constexpr size_t maxCrashesPerPart = 12;
+constexpr size_t maxCrashesPerPart = 64;
 constexpr size_t maxEnds = 1024;
 constexpr Millis endRetention(60000);
 constexpr Millis retention(600000);
@@ -24,6 +25,9 @@
 // In this time an answer begins after a crash, progresses, and other hosts are told of it.
 constexpr Millis clearanceTime(700);
 constexpr size_t minAddresses = 2;
+constexpr size_t minSuspectEnds = 5;
+constexpr int64_t minSuspectWeight = 2;
+constexpr size_t maxRequestsPerEnd = 16;
 constexpr int64_t minWeight = 3;
 constexpr int64_t neverProgressedWeight = 4;
 constexpr int64_t requestNeverProgressedWeight = 5; // more than the replicas that one request may be sent to
@@ -31,13 +35,16 @@
 constexpr double minCoverage = 0.5;
 constexpr double maxCoincidence = 1e-5; // that a sound part's requests all ended with their replicas
 
-int64_t weightOf(const PartEvidence &evidence, Millis countedUntil)
+int64_t weightOf(const std::vector<PartCrash> &crashes, Millis countedUntil, Millis countedFrom = Millis(INT64_MIN / 2))
 {
     std::set<uint32_t> addresses;
     std::set<uint32_t> requests;
     int64_t weight = 0;
     Millis lastCounted(INT64_MIN / 2);
-    for (const PartCrash &crash : evidence.crashes) {
+    for (const PartCrash &crash : crashes) {
+        if (crash.at < countedFrom) {
+            continue;
+        }
         if (crash.at > countedUntil) {
             break;
         }
@@ -50,6 +57,19 @@
     return addresses.size() >= minAddresses ? weight : std::min<int64_t>(weight, 1);
 }
 
+/**
+ * @return how well a part explains ends: better the more there are and the fewer of its requests it took. The ends
+ * weigh more, as requests with a crashing part pile up at the last replicas too.
+ */
+double likelihoodOf(const std::vector<PartCrash> &crashes)
+{
+    size_t requests = 0;
+    for (const PartCrash &crash : crashes) {
+        requests += std::max<size_t>(crash.requests.size(), 1);
+    }
+    return std::pow(static_cast<double>(crashes.size()), 3) / static_cast<double>(std::max<size_t>(requests, 1));
+}
+
 /** Drops a crash that came right after another one, as that adds the least. */
 void dropLeastIndependent(std::vector<PartCrash> &crashes)
 {
@@ -82,14 +102,21 @@
         return false;
     }
     const bool isNew = known == crashes.end();
+    const auto addRequest = [&crash](PartCrash &to) {
+        if (to.requests.size() < maxRequestsPerEnd) {
+            to.requests.insert(crash.request);
+        }
+    };
     if (evidence.ends.size() < maxEndsPerPart) {
         evidence.ends.insert(crash.end);
     }
     if (isNew) {
         crashes.push_back(crash);
+        addRequest(crashes.back());
         evidence.changedAt = now;
     } else {
         known->at = std::min(known->at, crash.at);
+        addRequest(*known);
     }
     std::sort(crashes.begin(), crashes.end(), [](const PartCrash &a, const PartCrash &b) {
         return a.at < b.at;
@@ -168,20 +195,97 @@
 int64_t CrashEvidence::weight(const PromptPartId &part, Millis countedUntil) const
 {
     const auto entry = m_parts.find(part);
-    return entry == m_parts.end() ? 0 : weightOf(entry->second, countedUntil);
+    return entry == m_parts.end() ? 0 : weightOf(entry->second.crashes, countedUntil);
+}
+
+Millis CrashEvidence::settledUntil(Millis now)
+{
+    return now - clearanceTime;
 }
 
 Millis CrashEvidence::countedUntil(Millis controlledUntil, Millis now)
 {
-    return std::min(controlledUntil, now - clearanceTime);
+    return std::min(controlledUntil, settledUntil(now));
+}
+
+Millis CrashEvidence::lastCrashAt(const PromptPartId &part) const
+{
+    const auto entry = m_parts.find(part);
+    const bool hasCrashes = entry != m_parts.end() && !entry->second.crashes.empty();
+    return hasCrashes ? entry->second.crashes.back().at : Millis(INT64_MIN / 2);
+}
+
+std::vector<PartCrash> CrashEvidence::suspiciousCrashes(const PartEvidence &evidence, Millis countedUntil,
+                                                        const std::set<uint32_t> &explained)
+{
+    if (evidence.crashes.size() < minSuspectEnds) {
+        return {};
+    }
+    std::vector<PartCrash> crashes;
+    std::copy_if(evidence.crashes.begin(), evidence.crashes.end(), std::back_inserter(crashes),
+                 [&](const PartCrash &crash) {
+                     return crash.at <= countedUntil && explained.count(crash.end) == 0;
+                 });
+    const bool isEnough = crashes.size() >= minSuspectEnds && weightOf(crashes, countedUntil) >= minSuspectWeight;
+    return isEnough ? crashes : std::vector<PartCrash>();
+}
+
+CrashSuspect CrashEvidence::makeSuspect(const PromptPartId &part, Millis countedUntil) const
+{
+    CrashSuspect suspect;
+    suspect.part = part;
+    const PartEvidence &evidence = m_parts.at(part);
+    for (const PartCrash &crash : evidence.crashes) {
+        const bool isCovered = std::any_of(m_parts.begin(), m_parts.end(), [&](const auto &other) {
+            return other.second.ends.size() > evidence.ends.size() && other.second.ends.count(crash.end) > 0;
+        });
+        if (crash.at <= countedUntil && !isCovered) {
+            suspect.proofs.push_back(crash);
+        }
+    }
+    suspect.weight = weightOf(suspect.proofs, countedUntil);
+    return suspect;
+}
+
+std::vector<CrashSuspect> CrashEvidence::rankSuspects(Millis countedUntil, const std::set<PromptPartId> &known) const
+{
+    std::vector<CrashSuspect> suspects;
+    std::set<uint32_t> explained;
+    const auto add = [&](const PromptPartId &part) {
+        const std::set<uint32_t> &ends = m_parts.at(part).ends;
+        explained.insert(ends.begin(), ends.end());
+        suspects.push_back(makeSuspect(part, countedUntil));
+    };
+    for (const PromptPartId &part : known) {
+        const auto entry = m_parts.find(part);
+        if (entry != m_parts.end() && !suspiciousCrashes(entry->second, countedUntil, {}).empty()) {
+            add(part);
+        }
+    }
+    while (true) {
+        std::optional<PromptPartId> best;
+        double highest = 0;
+        for (const auto &[part, evidence] : m_parts) {
+            const double likelihood = likelihoodOf(suspiciousCrashes(evidence, countedUntil, explained));
+            if (likelihood > highest) {
+                highest = likelihood;
+                best = part;
+            }
+        }
+        if (!best) {
+            return suspects;
+        }
+        add(*best);
+    }
 }
 
-std::optional<PromptPartId> CrashEvidence::findCrashing(Millis countedUntil, double crashProbability) const
+std::optional<PromptPartId> CrashEvidence::findCrashing(Millis countedUntil, double crashProbability,
+                                                        Millis countedFrom) const
 {
     std::optional<PromptPartId> found;
     int64_t most = minWeight - 1;
     for (const auto &[part, evidence] : m_parts) {
-        const int64_t weight = weightOf(evidence, countedUntil);
+        const int64_t weight = weightOf(evidence.crashes, countedUntil, countedFrom);
         if (weight > most && std::pow(crashProbability, static_cast<double>(weight)) <= maxCoincidence) {
             most = weight;
             found = part;
@@ -214,7 +318,7 @@
     for (const auto &[part, evidence] : m_parts) {
         const bool isRequest = isRequestFingerprint(part);
         const int64_t least = isRequest ? requestNeverProgressedWeight : neverProgressedWeight;
-        const int64_t weight = weightOf(evidence, countedUntil);
+        const int64_t weight = weightOf(evidence.crashes, countedUntil);
         const bool canTell = isRequest || history.isMeaningful();
         if (canTell && weight >= least && weight > most && !history.hasProgressed(part)
             && coverage(evidence, countedUntil) >= minCoverage) {
--- a/policy/crashevidence.h
+++ b/policy/crashevidence.h
@@ -21,6 +21,15 @@
     uint32_t address = 0; ///< Identifies the replica's address.
     uint32_t request = 0; ///< Identifies the request by the last part of its prompt, the same in a repetition.
     Millis at;
+    std::set<uint32_t> requests {}; ///< All requests with the part that are known to have ended there, up to a limit.
+};
+
+/** A part that explains ends of replicas better than any other part does. */
+struct CrashSuspect
+{
+    PromptPartId part;
+    std::vector<PartCrash> proofs; ///< Ends at which no part stood that was there at more ends, in order of time.
+    int64_t weight = 0; ///< Of the proofs.
 };
 
 /** What is known of a part of a prompt under which replicas ended. */
@@ -69,9 +78,11 @@
     /**
      * @param countedUntil until when crashes count; see countedUntil().
      * @param crashProbability of a request whose parts are all sound.
+     * @param countedFrom since when the probability was observed; earlier crashes say nothing beside it.
      * @return the part with the most evidence, if coincidence can be ruled out for it.
      */
-    std::optional<PromptPartId> findCrashing(Millis countedUntil, double crashProbability) const;
+    std::optional<PromptPartId> findCrashing(Millis countedUntil, double crashProbability,
+                                             Millis countedFrom = Millis(INT64_MIN / 2)) const;
     /**
      * Finds a crashing part also while replicas end so fast that hardly any answer progresses.
      *
@@ -83,6 +94,21 @@
      * most ends of replicas.
      */
     std::optional<PromptPartId> findNeverProgressed(const PartsHistory &history, Millis now) const;
+    /**
+     * Explains the ends of replicas by as few parts as possible, the most likely one first.
+     *
+     * A part that is rarely asked for and was there at many ends explains them better than one that was there as often
+     * because most requests have it.
+     *
+     * @param countedUntil until when ends count; sound parts had the time to be cleared of these.
+     * @param known parts that stay suspects while they aren't cleared, and so explain ends before all others.
+     * @return the parts that five ends or more are blamed on, at two moments or more.
+     */
+    std::vector<CrashSuspect> rankSuspects(Millis countedUntil, const std::set<PromptPartId> &known) const;
+    /** @return when the last end that counts against a part was; long ago if there is none. */
+    Millis lastCrashAt(const PromptPartId &part) const;
+    /** @return the time up to which sound parts were cleared of ends, and all hosts told of it. */
+    static Millis settledUntil(Millis now);
     /** @param controlledUntil the time after which enough answers have begun that progressed. */
     static Millis countedUntil(Millis controlledUntil, Millis now);
     const std::map<PromptPartId, PartEvidence> &parts() const
@@ -91,6 +117,10 @@
     }
 
 private:
+    /** @return the unexplained ends that make a part a suspect; empty if they don't. */
+    static std::vector<PartCrash> suspiciousCrashes(const PartEvidence &evidence, Millis countedUntil,
+                                                    const std::set<uint32_t> &explained);
+    CrashSuspect makeSuspect(const PromptPartId &part, Millis countedUntil) const;
     void dropExplained();
     /** @return the share of the ends since a part's first crash at which the part was there. */
     double coverage(const PartEvidence &evidence, Millis countedUntil) const;
--- a/policy/crashrate.cpp
+++ b/policy/crashrate.cpp
@@ -34,6 +34,11 @@
     }
 }
 
+Millis CrashRate::observedSince(Millis now)
+{
+    return now - window;
+}
+
 Millis CrashRate::controlledUntil() const
 {
     return m_latestBegins.size() < controlAnswers ? Millis(INT64_MIN / 2) : *m_latestBegins.begin();
--- a/policy/crashrate.h
+++ b/policy/crashrate.h
@@ -23,6 +23,8 @@
     void onEnded(Millis now);
     /** @return the probability that a request ends with its replica; near a half while few requests were seen. */
     double probability(Millis now);
+    /** @return since when requests are counted. */
+    static Millis observedSince(Millis now);
     /** @return the time after which ten answers have begun that progressed; long ago if there were fewer. */
     Millis controlledUntil() const;
 
--- a/serving/guards/promptguard.cpp
+++ b/serving/guards/promptguard.cpp
@@ -20,9 +20,11 @@
 
 constexpr Millis decisionInterval(50);
 constexpr int64_t suspectWeight = 2;
+constexpr Millis restrictedRetry(1000); // about the time that a probe takes
 constexpr Millis repeatTime(2000); // for which news is repeated, as datagrams may be lost
 constexpr Millis blocksInterval(1000);
 constexpr size_t maxReported = 32; // parts of each kind in a report
+constexpr size_t maxReportedCrashes = 12; // of each part, the latest
 constexpr int clearanceHops = 2; // from a leaf host to its hub, another hub and that one's leaf hosts
 
 uint32_t endOf(const ReplicaId &replica, int64_t incarnation)
@@ -41,6 +43,11 @@
     return suspects;
 }
 
+std::string describe(const PromptPartId &part)
+{
+    return isRequestFingerprint(part) ? "this request" : "part " + part.text() + " of the prompt";
+}
+
 uint32_t ageOf(Millis at, Millis now)
 {
     return static_cast<uint32_t>(std::clamp<int64_t>((now - at).value, 0, UINT32_MAX));
@@ -60,12 +67,27 @@
 
 std::optional<Refusal> PromptGuard::check(const ClientRequest &request) const
 {
-    const std::optional<PromptPartId> part = findBlocked(request);
-    if (!part) {
+    if (const std::optional<PromptPartId> part = findBlocked(request)) {
+        return Refusal {RefusalCode::PromptBlocked, RunState::NotRun, Millis(0),
+                        describe(*part) + " has crashed replicas"};
+    }
+    if (m_restrictions.isEmpty()) {
         return std::nullopt;
     }
-    const std::string what = isRequestFingerprint(*part) ? "this request" : "part " + part->text() + " of the prompt";
-    return Refusal {RefusalCode::PromptBlocked, RunState::NotRun, Millis(0), what + " has crashed replicas"};
+    for (const PromptPartId &part : suspectsOf(request)) {
+        if (m_restrictions.contains(part) && !mayProbe(part)) {
+            return Refusal {RefusalCode::PromptBlocked, RunState::NotRun, restrictedRetry,
+                            describe(part) + " may have crashed replicas, which is being examined"};
+        }
+    }
+    return std::nullopt;
+}
+
+bool PromptGuard::mayProbe(const PromptPartId &part) const
+{
+    const bool isExamined = m_starting.count(part) > 0 || m_ends.isPending(part)
+        || m_evidence.lastCrashAt(part) > CrashEvidence::settledUntil(m_clock.now());
+    return !isExamined && (!m_isProber || m_isProber(part));
 }
 
 std::optional<PromptPartId> PromptGuard::findBlocked(const ClientRequest &request) const
@@ -83,7 +105,7 @@
 {
     const std::vector<PromptPartId> suspects = suspectsOf(request);
     return std::any_of(suspects.begin(), suspects.end(), [&](const PromptPartId &part) {
-        return m_evidence.weight(part, countedUntil()) >= suspectWeight;
+        return m_evidence.weight(part, CrashEvidence::settledUntil(m_clock.now())) >= suspectWeight;
     });
 }
 
@@ -91,7 +113,8 @@
 {
     const std::vector<PromptPartId> suspects = suspectsOf(request);
     return std::any_of(suspects.begin(), suspects.end(), [&](const PromptPartId &part) {
-        return m_starting.count(part) > 0 && m_evidence.weight(part, countedUntil()) >= suspectWeight;
+        return m_starting.count(part) > 0
+            && m_evidence.weight(part, CrashEvidence::settledUntil(m_clock.now())) >= suspectWeight;
     });
 }
 
@@ -226,26 +249,52 @@
 {
     const Millis now = m_clock.now();
     const double probability = m_crashRate.probability(now);
-    while (const std::optional<PromptPartId> part = m_evidence.findCrashing(countedUntil(), probability)) {
+    const Millis since = CrashRate::observedSince(now);
+    while (const std::optional<PromptPartId> part = m_evidence.findCrashing(countedUntil(), probability, since)) {
         blockFound(*part, "a request ends with its replica with probability " + std::to_string(probability));
     }
     while (const std::optional<PromptPartId> part = m_evidence.findNeverProgressed(m_history, now)) {
         blockFound(*part, "it was there at most ends of replicas, and no answer on it has ever progressed");
     }
+    updateRestrictions();
 }
 
-void PromptGuard::blockFound(const PromptPartId &part, const std::string &why)
+void PromptGuard::updateRestrictions()
+{
+    const PartRestrictions::Changes changes = m_restrictions.update(m_evidence, m_clock.now());
+    for (const PromptPartId &part : changes.restricted) {
+        m_log.record(EventCode::PromptPartRestricted, part.text(),
+                     "replicas ended under requests with it" + endsOf(part)
+                         + " ms ago, and no other part explains that");
+    }
+    for (const PromptPartId &part : changes.released) {
+        if (m_blocked.find(part) == nullptr) {
+            m_log.record(EventCode::PromptPartLifted, part.text(),
+                         "an answer progressed, or a blocked part is to blame");
+        }
+    }
+    for (const PromptPartId &part : changes.crashing) {
+        blockFound(part, "requests with it, sent one at a time, ended too");
+    }
+}
+
+std::string PromptGuard::endsOf(const PromptPartId &part) const
 {
     std::string ends;
     for (const PartCrash &crash : m_evidence.parts().at(part).crashes) {
         ends += " " + std::to_string((m_clock.now() - crash.at).value);
     }
+    return ends;
+}
+
+void PromptGuard::blockFound(const PromptPartId &part, const std::string &why)
+{
     BlockedPart blocked;
     blocked.block = m_random.next();
     blocked.blockedAt = m_clock.wallNow();
     blocked.crashes = m_evidence.weight(part, m_clock.now());
     m_log.record(EventCode::PromptPartSuspected, part.text(),
-                 "replicas ended under requests with it" + ends + " ms ago; " + why);
+                 "replicas ended under requests with it" + endsOf(part) + " ms ago; " + why);
     block(part, blocked);
 }
 
@@ -273,7 +322,8 @@
     const Millis now = m_clock.now();
     std::vector<std::pair<std::pair<size_t, Millis>, PromptPartId>> ranked;
     for (const auto &[part, evidence] : m_evidence.parts()) {
-        if (!evidence.crashes.empty() && now - evidence.changedAt <= repeatTime) {
+        const bool isNews = now - evidence.changedAt <= repeatTime;
+        if (!evidence.crashes.empty() && (isNews || m_restrictions.contains(part))) {
             ranked.push_back({{evidence.crashes.size(), evidence.changedAt}, part});
         }
     }
@@ -290,11 +340,19 @@
 {
     const Millis now = m_clock.now();
     PromptReport report;
+    ++m_reports;
     for (const PromptPartId &part : recentSuspects()) {
         SuspectPartReport &suspect = report.suspects.emplace_back();
         suspect.part = part;
-        for (const PartCrash &crash : m_evidence.parts().at(part).crashes) {
-            suspect.crashes.push_back({crash.end, crash.address, crash.request, ageOf(crash.at, now)});
+        const std::vector<PartCrash> &crashes = m_evidence.parts().at(part).crashes;
+        const size_t first = crashes.size() - std::min(crashes.size(), maxReportedCrashes);
+        for (size_t i = first; i < crashes.size(); ++i) {
+            const PartCrash &crash = crashes[i];
+            // Another request each time, as hosts count the requests that ended with a replica.
+            auto request = crash.requests.begin();
+            std::advance(request, m_reports % std::max<size_t>(crash.requests.size(), 1));
+            const uint32_t told = request == crash.requests.end() ? crash.request : *request;
+            suspect.crashes.push_back({crash.end, crash.address, told, ageOf(crash.at, now)});
         }
     }
     for (const auto &[part, clearance] : m_clearances) {
--- a/serving/guards/promptguard.h
+++ b/serving/guards/promptguard.h
@@ -4,11 +4,13 @@
 #include "core/units.h"
 #include "policy/crashevidence.h"
 #include "policy/crashrate.h"
+#include "policy/partrestrictions.h"
 #include "policy/partshistory.h"
 #include "serving/guards/blockedparts.h"
 #include "serving/guards/replicaends.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -35,7 +37,8 @@
  * Keeps requests whose prompt has a part that crashes replicas away from the replicas.
  *
  * Observes which requests had not progressed when their replica ended, shares that with the other hosts, and blocks a
- * part once coincidence is ruled out. Until then, requests with a suspect part are sent one at a time.
+ * part once coincidence is ruled out. Until then, requests with a suspect part are sent one at a time, first on each
+ * host, later by one host alone (PartRestrictions).
  */
 class PromptGuard
 {
@@ -48,6 +51,11 @@
     {
         m_ends.setReports(reports);
     }
+    /** Sets what tells whether this host is the one that sends the requests with a restricted part. */
+    void setProber(std::function<bool(const PromptPartId &)> isProber)
+    {
+        m_isProber = std::move(isProber);
+    }
     /** @return the first blocked part of a request's prompt; nothing if it has none. */
     std::optional<PromptPartId> findBlocked(const ClientRequest &request) const;
     /** @return why a request must not be sent, or nothing. */
@@ -85,6 +93,11 @@
     {
         return m_blocked;
     }
+    /** @return number of parts whose requests are sent one at a time over all hosts. */
+    size_t restrictedCount() const
+    {
+        return m_restrictions.size();
+    }
     /** @return number of parts with evidence against them. */
     size_t suspectCount() const
     {
@@ -101,6 +114,9 @@
     };
 
     Millis countedUntil() const;
+    /** @return whether a request with a restricted part may be sent now, to see what becomes of it. */
+    bool mayProbe(const PromptPartId &part) const;
+    void updateRestrictions();
     /** Waits until it is known whether the replica has ended. @param isWhole whether the answer may be complete. */
     void addBroken(const ActiveRequest &active, bool isWhole);
     /** Takes a request's end with its replica as evidence. */
@@ -111,6 +127,8 @@
     void blockCrashingParts();
     /** Blocks a part that this host has found. @param why the conclusion, for the log. */
     void blockFound(const PromptPartId &part, const std::string &why);
+    /** @return how long ago the ends were that count against a part, for the log, each with a blank before it. */
+    std::string endsOf(const PromptPartId &part) const;
     /** @return the parts whose evidence changed lately, those with the most first. */
     std::vector<PromptPartId> recentSuspects() const;
 
@@ -121,10 +139,13 @@
     CrashEvidence m_evidence;
     CrashRate m_crashRate;
     PartsHistory m_history;
+    PartRestrictions m_restrictions;
+    std::function<bool(const PromptPartId &)> m_isProber; ///< Without it this host is the only one.
     BlockedParts m_blocked;
     ReplicaEnds m_ends;
     std::map<PromptPartId, int64_t> m_starting; ///< Attempts that have yet to progress.
     std::map<PromptPartId, Clearance> m_clearances;
+    size_t m_reports = 0; ///< Taken so far.
     Millis m_decidedAt {0};
     Millis m_blocksReportedAt {INT64_MIN / 2};
 };
--- a/serving/membership/fleetmembers.cpp
+++ b/serving/membership/fleetmembers.cpp
@@ -240,6 +240,19 @@
     return entry != m_peers.end() && isRecent(entry->second.heardDirectlyAt, now);
 }
 
+bool FleetMembers::isSelected(const std::string &key, Millis now) const
+{
+    const auto rankOf = [&key](const HostId &host) {
+        return stableHash(key + "/" + host.text());
+    };
+    const uint64_t own = rankOf(m_settings.host);
+    return std::none_of(m_peers.begin(), m_peers.end(), [&](const auto &entry) {
+        const FleetMember &member = entry.second;
+        return isLive(entry.first, now) && member.status.isReady && !member.status.isStopping
+            && rankOf(entry.first) < own;
+    });
+}
+
 bool FleetMembers::isLost(const HostId &host, Millis now) const
 {
     if (host == m_settings.host) {
--- a/serving/membership/fleetmembers.h
+++ b/serving/membership/fleetmembers.h
@@ -110,6 +110,14 @@
     bool isLive(const HostId &host, Millis now) const;
     /** @return whether a heartbeat of the host itself arrived within the last 700 ms. */
     bool isHeardDirectly(const HostId &host, Millis now) const;
+    /**
+     * Selects one of the live hosts that serve, which all hosts with the same view agree on. This host must serve
+     * itself.
+     *
+     * @param key what the host is selected for.
+     * @return whether it is this host.
+     */
+    bool isSelected(const std::string &key, Millis now) const;
     /** @return whether the host is unknown, or has been silent for more than 5 s. */
     bool isLost(const HostId &host, Millis now) const;
     /** @return whether this host considered @p host a hub when the round began. */
--- a/serving/servingnode.cpp
+++ b/serving/servingnode.cpp
@@ -21,6 +21,7 @@
 
 constexpr Millis heartbeatInterval(100);
 constexpr Millis adapterUseInterval(200);
+constexpr Millis probingTurn(4000); // of one host, for a restricted part of prompts
 constexpr Millis assignInterval(500);
 // When a whole fleet starts, all its hosts are known by then, so that replicas are distributed evenly at once.
 constexpr Millis firstAssignmentDelay(2000);
@@ -87,6 +88,9 @@
 {
     m_chooser.setLatencies(m_latencies);
     m_prompts.setReports(&m_ports.orders);
+    m_prompts.setProber([this](const PromptPartId &part) {
+        return isProber(part);
+    });
     setSettings(m_settings);
     m_relay.setMirrors({{Collection::Configuration, &m_configuration},
                         {Collection::Backends, &m_backendRecords},
@@ -420,6 +424,14 @@
     });
 }
 
+bool ServingNode::isProber(const PromptPartId &part) const
+{
+    // In turn, as a host may get no request with the part. Clocks that differ cost a probe more.
+    const int64_t turn = m_ports.clock.wallNow().value / probingTurn.value;
+    return isReady() && m_members.isListed()
+        && m_members.isSelected(part.text() + "/" + std::to_string(turn), m_ports.clock.now());
+}
+
 std::vector<std::pair<std::string, double>> ServingNode::gauges() const
 {
     const Millis now = m_ports.clock.now();
@@ -437,6 +449,7 @@
         {"vanillaspar_model_loads", static_cast<double>(m_loads.modelLoads())},
         {"vanillaspar_listed_hosts", static_cast<double>(callerAddresses(m_settings.domain).size())},
         {"vanillaspar_suspect_prompt_parts", static_cast<double>(m_prompts.suspectCount())},
+        {"vanillaspar_restricted_prompt_parts", static_cast<double>(m_prompts.restrictedCount())},
         {"vanillaspar_blocked_prompt_parts", static_cast<double>(m_prompts.blocked().parts().size())},
         {"vanillaspar_slow_replicas", m_latencyExchange.slowCount()},
         {"vanillaspar_overload_refusals", static_cast<double>(m_demands.counts().refused)},
--- a/serving/servingnode.h
+++ b/serving/servingnode.h
@@ -106,6 +106,8 @@
     size_t reportUnanswered();
     /** @return whether callers should be directed to this host. */
     bool isReady() const;
+    /** @return whether this host sends the requests with a restricted part of prompts now. */
+    bool isProber(const PromptPartId &part) const;
     /** @return the present values of the gauges on the metrics page, by name. */
     std::vector<std::pair<std::string, double>> gauges() const;
     /** @return addresses that callers in the failure domain @p domain should use. */
