--- a/policy/crashevidence.h
+++ b/policy/crashevidence.h
@@ -120,6 +120,7 @@
     /** @return the unexplained ends that make a part a suspect; empty if they don't. */
     static std::vector<PartCrash> suspiciousCrashes(const PartEvidence &evidence, Millis countedUntil,
                                                     const std::set<uint32_t> &explained);
+    /** @return a part with the ends that prove that it crashes replicas. */
     CrashSuspect makeSuspect(const PromptPartId &part, Millis countedUntil) const;
     void dropExplained();
     /** @return the share of the ends since a part's first crash at which the part was there. */
--- a/policy/partrestrictions.cpp
+++ b/policy/partrestrictions.cpp
@@ -21,16 +21,15 @@
 {
     Changes changes;
     std::map<PromptPartId, Millis> restrictedAt;
-    std::set<PromptPartId> known;
+    std::set<PromptPartId> restrictedParts;
     for (const auto &[part, since] : m_restrictedAt) {
-        known.insert(part);
+        restrictedParts.insert(part);
     }
-    for (const CrashSuspect &suspect : evidence.rankSuspects(CrashEvidence::settledUntil(now), known)) {
-        const auto known = m_restrictedAt.find(suspect.part);
-        const Millis since = known == m_restrictedAt.end() ? now : known->second;
-        if (known == m_restrictedAt.end()) {
+    for (const CrashSuspect &suspect : evidence.rankSuspects(CrashEvidence::settledUntil(now), restrictedParts)) {
+        if (!contains(suspect.part)) {
             changes.restricted.push_back(suspect.part);
         }
+        const Millis since = contains(suspect.part) ? m_restrictedAt.at(suspect.part) : now;
         restrictedAt[suspect.part] = since;
         const auto probes
             = std::count_if(suspect.proofs.begin(), suspect.proofs.end(), [since](const PartCrash &crash) {
--- a/serving/guards/promptguard.cpp
+++ b/serving/guards/promptguard.cpp
@@ -48,6 +48,12 @@
     return isRequestFingerprint(part) ? "this request" : "part " + part.text() + " of the prompt";
 }
 
+/** @return one of the requests that ended with a replica, by turns, as other hosts count the different ones. */
+uint32_t requestToReport(const PartCrash &crash, size_t report)
+{
+    return crash.requests.empty() ? crash.request : *std::next(crash.requests.begin(), report % crash.requests.size());
+}
+
 uint32_t ageOf(Millis at, Millis now)
 {
     return static_cast<uint32_t>(std::clamp<int64_t>((now - at).value, 0, UINT32_MAX));
@@ -105,16 +111,20 @@
 {
     const std::vector<PromptPartId> suspects = suspectsOf(request);
     return std::any_of(suspects.begin(), suspects.end(), [&](const PromptPartId &part) {
-        return m_evidence.weight(part, CrashEvidence::settledUntil(m_clock.now())) >= suspectWeight;
+        return isSuspectPart(part);
     });
 }
 
+bool PromptGuard::isSuspectPart(const PromptPartId &part) const
+{
+    return m_evidence.weight(part, CrashEvidence::settledUntil(m_clock.now())) >= suspectWeight;
+}
+
 bool PromptGuard::mustWait(const ClientRequest &request) const
 {
     const std::vector<PromptPartId> suspects = suspectsOf(request);
     return std::any_of(suspects.begin(), suspects.end(), [&](const PromptPartId &part) {
-        return m_starting.count(part) > 0
-            && m_evidence.weight(part, CrashEvidence::settledUntil(m_clock.now())) >= suspectWeight;
+        return m_starting.count(part) > 0 && isSuspectPart(part);
     });
 }
 
@@ -348,11 +358,8 @@
         const size_t first = crashes.size() - std::min(crashes.size(), maxReportedCrashes);
         for (size_t i = first; i < crashes.size(); ++i) {
             const PartCrash &crash = crashes[i];
-            // Another request each time, as hosts count the requests that ended with a replica.
-            auto request = crash.requests.begin();
-            std::advance(request, m_reports % std::max<size_t>(crash.requests.size(), 1));
-            const uint32_t told = request == crash.requests.end() ? crash.request : *request;
-            suspect.crashes.push_back({crash.end, crash.address, told, ageOf(crash.at, now)});
+            suspect.crashes.push_back(
+                {crash.end, crash.address, requestToReport(crash, m_reports), ageOf(crash.at, now)});
         }
     }
     for (const auto &[part, clearance] : m_clearances) {
--- a/serving/guards/promptguard.h
+++ b/serving/guards/promptguard.h
@@ -114,6 +114,7 @@
     };
 
     Millis countedUntil() const;
+    bool isSuspectPart(const PromptPartId &part) const;
     /** @return whether a request with a restricted part may be sent now, to see what becomes of it. */
     bool mayProbe(const PromptPartId &part) const;
     void updateRestrictions();
