--- a/tests/fakes/servingfleet.cpp
+++ b/tests/fakes/servingfleet.cpp
@@ -418,16 +418,6 @@
     }
 }
 
-void ServingFleet::crashOnLoad(const ReplicaId &replica)
-{
-    for (size_t i = 0; i < m_engines.size(); ++i) {
-        if (m_engines[i]->isRunning && m_engines[i]->id == replica) {
-            m_loadCrashes.push_back(m_clock.now());
-            endEngine(i, false);
-        }
-    }
-}
-
 void ServingFleet::sendRequests()
 {
     const double seconds = static_cast<double>(step.value) / millisPerSecond;
--- a/tests/fakes/servingfleetowners.cpp
+++ b/tests/fakes/servingfleetowners.cpp
@@ -92,4 +92,14 @@
     return orders == m_orders.end() ? nullptr : &orders->second.back();
 }
 
+void ServingFleet::crashOnLoad(const ReplicaId &replica)
+{
+    for (size_t i = 0; i < m_engines.size(); ++i) {
+        if (m_engines[i]->isRunning && m_engines[i]->id == replica) {
+            m_loadCrashes.push_back(m_clock.now());
+            endEngine(i, false);
+        }
+    }
+}
+
 }
