--- a/net/httpreader.cpp
+++ b/net/httpreader.cpp
@@ -1,5 +1,7 @@
 #include "net/httpreader.h"
 
+#include "net/answersyntax.h"
+
 #include <http_parser.h>
 
 namespace vanillaspar
@@ -130,7 +132,6 @@
             return refuseHead;
         }
     }
-    m_hasHead = true;
     if (m_kind == Kind::Requests) {
         m_head.method = http_method_str(static_cast<http_method>(m_parser->method));
     } else {
@@ -139,7 +140,14 @@
     m_head.isKeepAlive = http_should_keep_alive(m_parser.get()) != 0;
     m_head.hasLength = (m_parser->flags & F_CONTENTLENGTH) != 0 && m_parser->content_length != unknownLength;
     m_head.length = m_head.hasLength ? m_parser->content_length : 0;
-    m_head.endsWithConnection = m_kind == Kind::Responses && !m_head.hasLength && (m_parser->flags & F_CHUNKED) == 0;
+    const bool isChunked = (m_parser->flags & F_CHUNKED) != 0;
+    if (m_kind == Kind::Responses) {
+        if (!hasValidFraming(m_head, m_parser->http_minor)) {
+            return refuseHead;
+        }
+        m_head.endsWithConnection = !m_head.hasLength && !isChunked && !isBodyless(m_head.status);
+    }
+    m_hasHead = true;
     m_handlers.onHead(m_head);
     return m_isBodyless ? skipBody : 0;
 }
--- a/tests/fakes/servingfakes.h
+++ b/tests/fakes/servingfakes.h
@@ -80,9 +80,16 @@
         std::optional<Refusal> refusal;
         int status = 0;
         bool hasLength = false; ///< Whether the body's length was declared.
+        uint64_t length = 0; ///< Bytes of the body, if declared.
         std::string body;
         bool isFinished = false;
         bool isAborted = false;
+
+        /** @return whether the caller takes what it got for a whole answer. */
+        bool looksWhole() const
+        {
+            return isFinished || (status != 0 && hasLength && body.size() >= length);
+        }
     };
 
     void refuse(uint64_t exchange, const Refusal &refusal) override
@@ -93,6 +100,7 @@
     {
         answers[exchange].status = head.status;
         answers[exchange].hasLength = head.hasLength;
+        answers[exchange].length = head.length;
     }
     void append(uint64_t exchange, std::string_view data) override
     {
