--- a/net/httpreader.cpp
+++ b/net/httpreader.cpp
@@ -2,6 +2,7 @@
 
 #include "net/answersyntax.h"
 
+#include <algorithm>
 #include <http_parser.h>
 
 namespace vanillaspar
@@ -11,6 +12,19 @@
 {
 
 constexpr size_t maxHeaderFields = 1024; // each takes memory beyond its bytes
+constexpr std::string_view lineEnd = "\r\n";
+
+/** @return a line without the white space at its end, which belongs to no value. */
+std::string_view trimmed(std::string_view line)
+{
+    return line.substr(0, line.find_last_not_of(" \t") + 1);
+}
+
+/** @return the line that states the size of a chunk without its extensions. */
+std::string_view withoutExtensions(std::string_view line)
+{
+    return line.substr(0, line.find_first_of("; \t"));
+}
 
 }
 
@@ -87,6 +101,8 @@
     http_parser_init(m_parser.get(), m_kind == Kind::Requests ? HTTP_REQUEST : HTTP_RESPONSE);
     m_parser->data = this;
     m_head = {};
+    m_part = Part::StatusLine;
+    m_line.clear();
     m_headBytes = 0;
     m_isValuePart = false;
     m_isBodyless = false;
@@ -146,6 +162,7 @@
             return refuseHead;
         }
         m_head.endsWithConnection = !m_head.hasLength && !isChunked && !isBodyless(m_head.status);
+        m_bodyPart = isChunked ? Part::ChunkSize : m_head.hasLength ? Part::Body : Part::Rest;
     }
     m_hasHead = true;
     m_handlers.onHead(m_head);
@@ -156,16 +173,29 @@
 {
     const bool hadHead = m_hasHead;
     m_hasStarted = m_hasStarted || !data.empty();
-    consumed = http_parser_execute(m_parser.get(), &Callbacks::settings(), data.data(), data.size());
-    if (m_isComplete) {
-        return State::Complete;
+    consumed = 0;
+    State state = State::NeedsMore;
+    while (consumed < data.size() && state == State::NeedsMore) {
+        const std::string_view rest = data.substr(consumed);
+        size_t taken = 0;
+        state = m_kind == Kind::Requests ? execute(rest, taken) : feedPart(rest, taken);
+        consumed += taken;
     }
-    if (!hadHead) {
+    if (!hadHead && state != State::Complete) {
         m_headBytes += consumed;
         if (!m_hasHead && m_headBytes > m_maxHeadBytes) {
             return State::HeadTooLarge;
         }
     }
+    return state;
+}
+
+HttpReader::State HttpReader::execute(std::string_view data, size_t &consumed)
+{
+    consumed = http_parser_execute(m_parser.get(), &Callbacks::settings(), data.data(), data.size());
+    if (m_isComplete) {
+        return State::Complete;
+    }
     const http_errno error = HTTP_PARSER_ERRNO(m_parser.get());
     if (error == HPE_HEADER_OVERFLOW || m_hasTooManyFields) {
         return State::HeadTooLarge;
@@ -173,6 +203,87 @@
     return error != HPE_OK || m_parser->upgrade != 0 ? State::Malformed : State::NeedsMore;
 }
 
+HttpReader::State HttpReader::feedPart(std::string_view data, size_t &consumed)
+{
+    if (m_part == Part::Rest) {
+        return execute(data, consumed);
+    }
+    if (m_part != Part::Body && m_part != Part::Chunk) {
+        return feedLine(data, consumed);
+    }
+    const std::string_view due = data.substr(0, std::min<uint64_t>(m_parser->content_length, data.size()));
+    const State state = execute(due, consumed);
+    if (m_part == Part::Chunk && m_parser->content_length == 0) {
+        m_part = Part::ChunkEnd;
+    }
+    return state;
+}
+
+HttpReader::State HttpReader::feedLine(std::string_view data, size_t &consumed)
+{
+    const size_t end = data.find('\n');
+    consumed = end == std::string_view::npos ? data.size() : end + 1;
+    if (m_line.size() + consumed > m_maxHeadBytes) {
+        return m_hasHead ? State::Malformed : State::HeadTooLarge;
+    }
+    std::string_view line = data.substr(0, consumed);
+    if (!m_line.empty() || end == std::string_view::npos) {
+        m_line.append(line);
+        line = m_line;
+    }
+    if (m_part == Part::StatusLine && !canStartStatusLine(line)) {
+        return State::Malformed;
+    }
+    if (end == std::string_view::npos) {
+        return State::NeedsMore;
+    }
+    const std::string_view text = line.substr(0, line.size() - std::min(line.size(), lineEnd.size()));
+    if (line.substr(text.size()) != lineEnd || !isValidLine(text)) {
+        return State::Malformed;
+    }
+    const std::string_view needed = m_part == Part::ChunkSize ? withoutExtensions(text) : trimmed(text);
+    size_t taken = 0;
+    // For the parser, no bytes are the end of the connection.
+    State state = needed.empty() ? State::NeedsMore : execute(needed, taken);
+    if (state == State::NeedsMore) {
+        state = execute(lineEnd, taken);
+    }
+    m_part = partAfter(text);
+    m_line.clear();
+    return state;
+}
+
+bool HttpReader::isValidLine(std::string_view line) const
+{
+    switch (m_part) {
+    case Part::StatusLine:
+        return isStatusLine(line);
+    case Part::Field:
+    case Part::Trailer:
+        return line.empty() || isFieldLine(line);
+    case Part::ChunkSize:
+        return isChunkSizeLine(line);
+    default:
+        return line.empty();
+    }
+}
+
+HttpReader::Part HttpReader::partAfter(std::string_view line) const
+{
+    switch (m_part) {
+    case Part::StatusLine:
+        return Part::Field;
+    case Part::Field:
+        return line.empty() ? m_bodyPart : Part::Field;
+    case Part::ChunkSize:
+        return m_parser->content_length == 0 ? Part::Trailer : Part::Chunk;
+    case Part::ChunkEnd:
+        return Part::ChunkSize;
+    default:
+        return m_part;
+    }
+}
+
 HttpReader::State HttpReader::finish()
 {
     if (!m_hasStarted || !m_hasHead) {
--- a/net/httpreader.h
+++ b/net/httpreader.h
@@ -16,7 +16,11 @@
 /** @return the usual reason phrase of an HTTP status. */
 const char *reasonPhrase(int status);
 
-/** Reads HTTP/1 messages with libhttp-parser, one at a time. */
+/**
+ * Reads HTTP/1 messages with libhttp-parser, one at a time.
+ *
+ * Responses are read strictly: the parser gets only lines and chunks that were checked against RFC 9112 before.
+ */
 class HttpReader
 {
 public:
@@ -76,7 +80,28 @@
 
 private:
     struct Callbacks;
+    /** The part of a response that comes next. */
+    enum class Part
+    {
+        StatusLine,
+        Field,
+        Body, ///< With a declared length.
+        ChunkSize,
+        Chunk,
+        ChunkEnd,
+        Trailer,
+        Rest, ///< A body that ends with the connection.
+    };
 
+    /** Gives bytes to the parser. @param consumed is set to how many it took. */
+    State execute(std::string_view data, size_t &consumed);
+    /** Reads from the next part of a response. @param consumed is set to how many bytes it took. */
+    State feedPart(std::string_view data, size_t &consumed);
+    State feedLine(std::string_view data, size_t &consumed);
+    /** @return whether a line of a response without its line end is valid in the next part. */
+    bool isValidLine(std::string_view line) const;
+    /** @return the part that follows a line that the parser took. */
+    Part partAfter(std::string_view line) const;
     /** @return 0, or what makes the parser refuse the message. */
     int takeHeaderPart(bool isValue, std::string_view text);
     int completeHead();
@@ -86,6 +111,9 @@
     Handlers m_handlers;
     std::unique_ptr<http_parser> m_parser;
     HttpHead m_head;
+    Part m_part = Part::StatusLine; ///< Of a response.
+    Part m_bodyPart = Part::Rest; ///< That follows the head of a response.
+    std::string m_line; ///< Start of a line of a response whose end hasn't come yet.
     size_t m_headBytes = 0;
     bool m_isValuePart = false;
     bool m_isBodyless = false;
--- a/net/httpupstream.cpp
+++ b/net/httpupstream.cpp
@@ -26,11 +26,9 @@
 // Taken off the time that a server names, for the way of the request and for its clock.
 constexpr Millis keepAliveMargin(400);
 constexpr Millis longestKeepAlive(30000);
-constexpr int firstStatus = 100;
 constexpr int switchingProtocols = 101; // never asked for
 constexpr int firstFinalStatus = 200;
 constexpr int firstErrorStatus = 400;
-constexpr int lastStatus = 599;
 constexpr size_t smallBody = 64UL * 1024; // bytes that go into one write with their head
 
 Millis keepAliveOf(const HttpHead &head)
@@ -67,7 +65,7 @@
     Millis idleSince;
     Millis keepAlive;
     bool isFresh = true; ///< Whether no exchange was completed on it yet.
-    bool isMalformed = false; ///< Whether its status is none that an answer has.
+    bool isMalformed = false; ///< Whether its head can't be an answer to what was asked.
     bool isInterim = false; ///< Whether the last message was an interim answer.
     bool isForeign = false; ///< Whether the response being read belongs to an earlier request.
     bool isUnusable = false; ///< Whether it must be closed after this exchange.
@@ -105,7 +103,7 @@
 
 void HttpUpstream::Connection::onHead(HttpHead &head)
 {
-    isMalformed = head.status < firstStatus || head.status > lastStatus || head.status == switchingProtocols;
+    isMalformed = head.status == switchingProtocols;
     isInterim = head.status < firstFinalStatus && !isMalformed;
     isForeign = isMalformed || isInterim || !isEchoed(head);
     if (isForeign) {
