--- a/net/httpupstream.cpp
+++ b/net/httpupstream.cpp
@@ -45,6 +45,14 @@
     return std::clamp(Millis(seconds * 1000) - keepAliveMargin, Millis(0), longestKeepAlive);
 }
 
+/** @return whether a server says that it keeps the connection open after a response. */
+bool isPersistent(const HttpHead &head)
+{
+    const std::string *connection = findHeader(head.headers, "connection");
+    return findHeader(head.headers, "keep-alive") != nullptr
+        || (connection != nullptr && isSameHeader(*connection, "keep-alive"));
+}
+
 }
 
 /** One connection to a server. */
@@ -103,7 +111,8 @@
 
 void HttpUpstream::Connection::onHead(HttpHead &head)
 {
-    isMalformed = head.status == switchingProtocols;
+    const bool isContradictory = head.endsWithConnection && isPersistent(head) && request.method != "HEAD";
+    isMalformed = head.status == switchingProtocols || isContradictory;
     isInterim = head.status < firstFinalStatus && !isMalformed;
     isForeign = isMalformed || isInterim || !isEchoed(head);
     if (isForeign) {
