--- a/net/httpreader.cpp
+++ b/net/httpreader.cpp
@@ -13,6 +13,7 @@
 
 constexpr size_t maxHeaderFields = 1024; // each takes memory beyond its bytes
 constexpr std::string_view lineEnd = "\r\n";
+constexpr std::string_view lastChunk = "0\r\n\r\n";
 
 /** @return a line without the white space at its end, which belongs to no value. */
 std::string_view trimmed(std::string_view line)
@@ -103,6 +104,7 @@
     m_head = {};
     m_part = Part::StatusLine;
     m_line.clear();
+    m_restEnd.clear();
     m_headBytes = 0;
     m_isValuePart = false;
     m_isBodyless = false;
@@ -206,6 +208,7 @@
 HttpReader::State HttpReader::feedPart(std::string_view data, size_t &consumed)
 {
     if (m_part == Part::Rest) {
+        noteRest(data);
         return execute(data, consumed);
     }
     if (m_part != Part::Body && m_part != Part::Chunk) {
@@ -222,6 +225,21 @@
     return state;
 }
 
+void HttpReader::noteRest(std::string_view data)
+{
+    constexpr size_t longestSize = 18; // bytes of a chunk's size and its line end
+    m_line.append(data.substr(0, longestSize - std::min(longestSize, m_line.size())));
+    m_restEnd.append(data.substr(data.size() - std::min(data.size(), lastChunk.size())));
+    m_restEnd.erase(0, m_restEnd.size() - std::min(m_restEnd.size(), lastChunk.size()));
+}
+
+bool HttpReader::isRestChunked() const
+{
+    const size_t end = m_line.find(lineEnd);
+    return end != std::string::npos && isChunkSizeLine(std::string_view(m_line).substr(0, end))
+        && m_restEnd == lastChunk;
+}
+
 HttpReader::State HttpReader::feedLine(std::string_view data, size_t &consumed)
 {
     const size_t end = data.find('\n');
@@ -298,7 +316,8 @@
 
 HttpReader::State HttpReader::finish()
 {
-    if (!m_hasStarted || !m_hasHead) {
+    // Chunks in a body that ends with its connection mean that the field that announced them was spoilt.
+    if (!m_hasStarted || !m_hasHead || (m_part == Part::Rest && isRestChunked())) {
         return State::Malformed;
     }
     http_parser_execute(m_parser.get(), &Callbacks::settings(), nullptr, 0);
--- a/net/httpreader.h
+++ b/net/httpreader.h
@@ -99,6 +99,10 @@
     /** Reads from the next part of a response. @param consumed is set to how many bytes it took. */
     State feedPart(std::string_view data, size_t &consumed);
     State feedLine(std::string_view data, size_t &consumed);
+    /** Keeps the start and the end of a body that ends with the connection. */
+    void noteRest(std::string_view data);
+    /** @return whether such a body begins and ends as a chunked one. */
+    bool isRestChunked() const;
     /** @return whether a line of a response without its line end is valid in the next part. */
     bool isValidLine(std::string_view line) const;
     /** @return whether the response ends with the empty line that comes next. */
@@ -116,7 +120,8 @@
     HttpHead m_head;
     Part m_part = Part::StatusLine; ///< Of a response.
     Part m_bodyPart = Part::Rest; ///< That follows the head of a response.
-    std::string m_line; ///< Start of a line of a response whose end hasn't come yet.
+    std::string m_line; ///< Start of a line of a response whose end hasn't come yet, or of a body of unknown length.
+    std::string m_restEnd; ///< The last bytes of a body of unknown length.
     size_t m_headBytes = 0;
     bool m_isValuePart = false;
     bool m_isBodyless = false;
--- a/tests/fakes/strictanswer.cpp
+++ b/tests/fakes/strictanswer.cpp
@@ -128,6 +128,11 @@
         bytes.remove_prefix(length);
     } else {
         answer.body = bytes;
+        const size_t end = answer.body.find("\r\n");
+        if (end <= 16 && std::regex_match(answer.body.substr(0, end), std::regex("[0-9A-Fa-f]+[ \t]*(;.*)?"))
+            && bytes.size() >= 5 && bytes.substr(bytes.size() - 5) == "0\r\n\r\n") {
+            return std::nullopt;
+        }
         bytes = {};
     }
     const size_t common = std::min(bytes.size(), afterwards.size());
--- a/tests/fakes/strictanswer.h
+++ b/tests/fakes/strictanswer.h
@@ -22,7 +22,8 @@
  * Reads the response to a GET request, independently of the product's reader.
  *
  * @param bytes all that came before the server closed the connection.
- * @return nothing if the response is invalid or incomplete.
+ * @return nothing if the response is invalid, incomplete, or of unknown length with a body that begins and ends as
+ * a chunked one.
  */
 std::optional<StrictAnswer> readStrictly(std::string_view bytes);
 
--- a/tests/platform/spoiltheadtest.cpp
+++ b/tests/platform/spoiltheadtest.cpp
@@ -78,6 +78,18 @@
     EXPECT_EQ(broken, 0) << "of " << 7 * damages().size();
 }
 
+// A sound body may end with the connection, so what is left of a head may be sound, too.
+TEST_P(SpoiltHeadTest, NoCallerGetsAnotherBodyWhereTheServerDoesNotKeepTheConnection)
+{
+    for (const Damage &damage : damages()) {
+        for (const std::string &head : headsWith("HTTP/1.1 200 OK\r\n", damage.lines)) {
+            const serving::FakeCallers::Answer &answer = play(head, damage.bytes, false);
+            EXPECT_TRUE(!answer.looksWhole() || answer.body == answerBody)
+                << damage.name << ": " << testing::PrintToString(answer.body);
+        }
+    }
+}
+
 TEST_P(SpoiltHeadTest, AnOddButSoundOneIsPassedOn)
 {
     for (const Damage &oddity : oddities()) {
