Test that spoilt answers confirm no order and don't repeat bookings

SpoiltHeadTest also checks that a booking, or a stream that can't be resumed, reaches replicas once.

--- a/tests/platform/spoiltheadtest.cpp
+++ b/tests/platform/spoiltheadtest.cpp
@@ -2,6 +2,7 @@
 #include "tests/fakes/replicafixture.h"
 
 #include <gtest/gtest.h>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -69,6 +70,8 @@
                 broken += isHidden ? 0 : 1;
                 EXPECT_TRUE(isHidden) << damage.name << ", closed: " << answer.status << " "
                                       << testing::PrintToString(answer.body);
+                const bool mayRunOnce = GetParam()[1] == 'b' || GetParam()[1] == 's';
+                EXPECT_TRUE(!mayRunOnce || m_replicas.back()->received().size() == 1) << damage.name;
             }
         }
         const auto &answer = play(headsWith("HTTP/1.1 200 OK\r\n", damage.lines)[1], damage.bytes, true);
@@ -103,6 +106,32 @@
     }
 }
 
+class SpoiltOrderTest : public testing::Test, protected ReplicaFixture
+{
+};
+
+TEST_F(SpoiltOrderTest, ASpoiltAnswerConfirmsNoOrder)
+{
+    int number = 0;
+    for (const Damage &damage : damages()) {
+        const std::string id = "r" + std::to_string(number++);
+        addReplica(id, "engines", [&](ScriptedReplica &self, const ScriptedReplica::Received &received) {
+            self.write(received.connection,
+                       "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\n" + damage.lines + "\r\n" + damage.bytes);
+            self.close(received.connection);
+        });
+        const serving::Backend backend = m_backends.find(ReplicaId(id))->info;
+        std::optional<serving::OrderResult> order;
+        m_link.sendOrder(backend, serving::EngineOrder {}, [&](serving::OrderResult answered) {
+            order = answered;
+        });
+        runUntil([&] {
+            return order.has_value();
+        });
+        EXPECT_EQ(order, serving::OrderResult::Unknown) << damage.name;
+    }
+}
+
 INSTANTIATE_TEST_SUITE_P(Kinds, SpoiltHeadTest, testing::Values("/b/x", "/l/x", "/s/x", "/r/x"),
                          [](const testing::TestParamInfo<const char *> &info) {
                              return std::string(1, info.param[1]);
