--- a/net/httpupstream.cpp
+++ b/net/httpupstream.cpp
@@ -161,7 +161,8 @@
 {
     const uint64_t exchange = m_nextId++;
     const std::string pool = poolName(request.endpoint, request.peer);
-    Connection *connection = request.needsNewConnection ? nullptr : takeIdle(pool, request.isRepeatable);
+    const bool mayReuse = !request.needsNewConnection && !request.closesConnection;
+    Connection *connection = mayReuse ? takeIdle(pool, request.isRepeatable) : nullptr;
     if (connection != nullptr) {
         start(*connection, std::move(request), std::move(handlers), exchange);
     } else {
@@ -258,6 +259,9 @@
         text += header.value;
         text += "\r\n";
     }
+    if (sent.closesConnection) {
+        text += "Connection: close\r\n";
+    }
     const bool hasBody = !sent.body.empty() || (sent.method != "GET" && sent.method != "HEAD");
     if (hasBody) {
         text += "Content-Length: " + std::to_string(sent.body.size()) + "\r\n";
@@ -317,7 +321,8 @@
 void HttpUpstream::completeMessage(Connection &connection)
 {
     // An answer that came before the whole request was written leaves bytes behind that would start the next one.
-    const bool isReusable = !connection.isUnusable && connection.socket->pendingBytes() == 0;
+    const bool isReusable
+        = !connection.isUnusable && !connection.request.closesConnection && connection.socket->pendingBytes() == 0;
     end(connection, UpstreamEnd::Complete, isReusable);
 }
 
@@ -388,6 +393,7 @@
     const auto connection = m_connections.find(entry->second);
     m_connectionByExchange.erase(entry);
     connection->second->socket.reset();
+    connection->second->handlers = {}; // more of the answer may be in the read that is being handled
     m_retired.push_back(std::move(connection->second));
     m_connections.erase(connection);
 }
--- a/net/httpupstream.h
+++ b/net/httpupstream.h
@@ -49,6 +49,7 @@
     /** Whether the request is sent again, on a new connection, if its kept connection ends without a response. */
     bool isRepeatable = false;
     bool needsNewConnection = false; ///< Whether no kept connection may be used.
+    bool closesConnection = false; ///< Whether its connection serves no other request, before or after.
 };
 
 /** What a server's answer consists of. */
