HttpClient: end calls after 10 minutes, as before

libwebsockets ended a call whose server had been silent for 600 s; HttpUpstream had no limit for it.

--- a/net/answersyntax.cpp
+++ b/net/answersyntax.cpp
@@ -43,7 +43,8 @@
 
 std::string_view withoutPrefix(std::string_view text, bool (*isPart)(char))
 {
-    return {std::find_if_not(text.begin(), text.end(), isPart), text.end()};
+    const auto end = std::find_if_not(text.begin(), text.end(), isPart);
+    return text.substr(static_cast<size_t>(end - text.begin()));
 }
 
 }
--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -11,6 +11,7 @@
 namespace
 {
 
+constexpr Millis longestCall(600000); // callers have deadlines of their own
 constexpr size_t maxBodyBytes = 8UL * 1024 * 1024; // of an answer that is kept as a whole
 
 UpstreamRequest toRequest(const HttpCall &call)
@@ -30,6 +31,7 @@
         request.headers.push_back({"Content-Type", "application/json"});
     }
     request.body = call.body;
+    request.timeout = longestCall;
     request.closesConnection = true;
     return request;
 }
