Read no body behind a 304 that states a length

What callers saw: an answer with status 304 and a Content-Length, which is valid, never ended.

Cause: libhttp-parser leaves it to its user to say that a 304 has no body, and HttpReader said so only for HEAD.

Change: no body is read for the statuses that have none.

Measured: SpoiltAnswerTest with the shape NotModified: its three tests fail on the commit before and pass now.

--- a/net/httpreader.cpp
+++ b/net/httpreader.cpp
@@ -167,8 +167,9 @@
         m_bodyPart = isChunked ? Part::ChunkSize : m_head.hasLength ? Part::Body : Part::Rest;
     }
     m_hasHead = true;
+    const bool hasNoBody = m_kind == Kind::Responses && isBodyless(m_head.status);
     m_handlers.onHead(m_head);
-    return m_isBodyless ? skipBody : 0;
+    return m_isBodyless || hasNoBody ? skipBody : 0;
 }
 
 HttpReader::State HttpReader::feed(std::string_view data, size_t &consumed)
--- a/net/httpreader.h
+++ b/net/httpreader.h
@@ -98,6 +98,7 @@
     State execute(std::string_view data, size_t &consumed);
     /** Reads from the next part of a response. @param consumed is set to how many bytes it took. */
     State feedPart(std::string_view data, size_t &consumed);
+    /** Reads a line of a response, or keeps its start until the rest comes. @param consumed as above. */
     State feedLine(std::string_view data, size_t &consumed);
     /** Keeps the start and the end of a body that ends with the connection. */
     void noteRest(std::string_view data);
--- a/tests/net/spoiltanswertest.cpp
+++ b/tests/net/spoiltanswertest.cpp
@@ -159,6 +159,7 @@
         Shape {"ChunksWithTrailers", okay, "TRANSFER-ENCODING:Chunked\r\n", "05 \r\nhello\r\n00\r\nX-Sum: 1\r\n\r\n"},
         Shape {"Connection", "HTTP/1.1 200 \xc3\xa9t\xc3\xa9", "Response-Signature: s.1\r\nConnection: close\r\n",
                events},
+        Shape {"NotModified", "HTTP/1.1 304 Not Modified", "Content-Length: 18\r\nResponse-Signature: s\r\n", ""},
         Shape {"NoContent", "HTTP/1.1 204 No Content", "Response-Signature: s\r\n", ""}),
     [](const testing::TestParamInfo<Shape> &info) {
         return std::string(info.param.name);
