--- a/net/answersyntax.h
+++ b/net/answersyntax.h
@@ -7,8 +7,8 @@
 namespace vanillaspar
 {
 
-// The syntax of HTTP/1.1 responses (RFC 9112). libhttp-parser, as it is packaged, checks only parts of it: it behaves as
-// without its strict mode, joins folded lines, and ignores a transfer coding that it doesn't understand.
+// The syntax of HTTP/1.1 responses (RFC 9112). libhttp-parser, as it is packaged, checks only parts of it: it behaves
+// as without its strict mode, joins folded lines, and ignores a transfer coding that it doesn't understand.
 
 /** @return whether a line, without its line end, is the status line of a response (section 4). */
 bool isStatusLine(std::string_view line);
