--- a/tests/net/spoiltanswertest.cpp
+++ b/tests/net/spoiltanswertest.cpp
@@ -106,7 +106,7 @@
     int m_wronglyWhole = 0;
 };
 
-const std::string spoiling("\0\t\n\r 09;:,-+xAa\x7f\xc3", 18);
+const std::string spoiling("\0\t\n\r 09;:,-+xAa\x7f\xc3", 17);
 
 TEST_P(SpoiltAnswerTest, ASoundOneIsPassedOn)
 {
