--- a/tests/net/spoiltanswertest.cpp
+++ b/tests/net/spoiltanswertest.cpp
@@ -65,6 +65,7 @@
     return testing::PrintToString(std::string(bytes));
 }
 
+/** Guards against MIXED: a spoilt answer is read as a whole one, or a sound one as spoilt. */
 class SpoiltAnswerTest : public testing::TestWithParam<Shape>
 {
 protected:
--- a/tests/net/spoiltcalltest.cpp
+++ b/tests/net/spoiltcalltest.cpp
@@ -17,7 +17,8 @@
 namespace
 {
 
-/** Calls to a server that answers byte for byte as a test wants. */
+/** Guards against spoilt answers that calls of vanillaspard take for whole, from a server that answers byte for byte.
+ */
 class SpoiltCallTest : public testing::Test
 {
 protected:
--- a/tests/platform/spoiltheadtest.cpp
+++ b/tests/platform/spoiltheadtest.cpp
@@ -106,6 +106,7 @@
     }
 }
 
+/** Guards against an order that counts as carried out although the answer to it was spoilt. */
 class SpoiltOrderTest : public testing::Test, protected ReplicaFixture
 {
 };
